--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -20,7 +20,6 @@
     Vm,
     make_kinds,
 )
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.colocation import (
     ColocationReview,
     Evict,
@@ -46,6 +45,7 @@
 from savorydale.scheduling.rack_colocation import start_pace
 from savorydale.scheduling.tasks import Task
 from savorydale.scheduling.usage import UsageEstimates
+from savorydale.storage.interface import VmStatus
 
 REVIEW_SECONDS = 4
 WARM_UP_SECONDS = 900
--- a/benchmarks/farm.py
+++ b/benchmarks/farm.py
@@ -8,7 +8,6 @@
 
 from benchmarks.traffic import ONE_WAY_SECONDS, Deployment, Request, Scenario
 from savorydale.counters import Counters
-from savorydale.platform.interface import VmStatus
 from savorydale.results import ResultCode
 from savorydale.routing.calls import (
     Answered,
@@ -21,6 +20,7 @@
 )
 from savorydale.routing.router import Router
 from savorydale.routing.slots import SHARE_COUNT, SlotPool
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.directory import Directory, RackServices
 
 SERVICE = "desk"
--- a/benchmarks/interference_world.py
+++ b/benchmarks/interference_world.py
@@ -5,9 +5,9 @@
 import random
 from typing import NamedTuple
 
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.shards import PATIENCE_SECONDS
 from savorydale.scheduling.tasks import Task
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import Demand
 
 LAG_SECONDS = 5
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -12,7 +12,6 @@
 from savorydale.peers.assignment import assign_units
 from savorydale.peers.framing import encode
 from savorydale.peers.records import Holding, OwnershipMap
-from savorydale.platform.interface import VmStatus
 from savorydale.routing.slots import SlotPool, share_units
 from savorydale.scheduling.placement import (
     Outlook,
@@ -25,6 +24,7 @@
 from savorydale.scheduling.tasks import Task, shard_units
 from savorydale.settings.checks import check_changes
 from savorydale.settings.tree import SettingsTree
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import Demand
 
 WORKERS = 5_400
--- a/savorydale/__main__.py
+++ b/savorydale/__main__.py
@@ -1,6 +1,7 @@
 """Command line of savorydale."""
 
 import json
+import os
 import pathlib
 import sys
 
@@ -15,6 +16,7 @@
 )
 from savorydale.commands.exit_codes import ExitCode
 
+BOOT_VARIABLE = "SAVORYDALE_BOOT"
 SHOWN_PATHS = 3
 JSON_OPTION = option("json", None, "Print JSON instead of a table.", flag=True)
 
@@ -38,6 +40,31 @@
         return serve(pathlib.Path(path))
 
 
+class ServeJobsCommand(BaseCommand):
+    """savorydale serve-jobs."""
+
+    name = "serve-jobs"
+    description = "Accept and schedule jobs on the users' platform."
+    options = [
+        option(
+            "config", "c", f"Settings file; ${BOOT_VARIABLE} if left out.", flag=False
+        )
+    ]
+    help = "Example: savorydale serve-jobs --config vm.toml"
+
+    def run_command(self) -> int:
+        """Run the process until it is told to stop."""
+        from savorydale.commands.serve_jobs import serve_jobs
+
+        path = self.option("config") or os.environ.get(BOOT_VARIABLE)
+        if path is None:
+            self.line_error(
+                f"Give the settings file with --config or ${BOOT_VARIABLE}."
+            )
+            return ExitCode.USAGE
+        return serve_jobs(pathlib.Path(path))
+
+
 class CheckCommand(BaseCommand):
     """savorydale check."""
 
@@ -301,6 +328,7 @@
 
 COMMANDS = (
     ServeCommand,
+    ServeJobsCommand,
     CheckCommand,
     PlanCommand,
     ApplyCommand,
--- a/savorydale/commands/serve.py
+++ b/savorydale/commands/serve.py
@@ -14,7 +14,7 @@
 from savorydale.config.loading import load_config
 from savorydale.entry import Entry, EntryOutside
 from savorydale.messages.entry_types import EntryConfig, LoggingOptions
-from savorydale.platform.client import open_platform
+from savorydale.storage.client import open_platform
 from savorydale.utils.wall_clock import WallClock
 from savorydale.web.server import open_server
 from savorydale.workers.client import open_worker_client
--- /dev/null
+++ b/savorydale/commands/serve_jobs.py
@@ -0,0 +1,47 @@
+"""Run a process that accepts and schedules jobs until it is told to stop."""
+
+import asyncio
+import logging
+import pathlib
+import signal
+
+from savorydale.commands.exit_codes import ExitCode
+from savorydale.config.vm import load_vm_config
+from savorydale.counters import Counters
+from savorydale.exceptions import ConfigurationError
+from savorydale.job_entry import JobEntry
+from savorydale.messages.vm_types import VmConfig
+from savorydale.platform.http import open_http_client
+from savorydale.utils.json_logs import json_logs
+
+log = logging.getLogger(__name__)
+
+
+def serve_jobs(path: pathlib.Path) -> ExitCode:
+    """Run the process whose settings file is at ``path``."""
+    config = load_vm_config(path)
+    counters = Counters()
+    with json_logs(config["logging"]["level"], counters):
+        asyncio.run(_serve(config, path, counters))
+    return ExitCode.OK
+
+
+async def _serve(config: VmConfig, path: pathlib.Path, counters: Counters) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _check_again, path, config)
+    async with open_http_client() as http:
+        await JobEntry(config, http, counters).run(stop)
+
+
+def _check_again(path: pathlib.Path, config: VmConfig) -> None:
+    """Say whether the settings file has changed; it is in force after a restart."""
+    try:
+        changed = load_vm_config(path) != config
+    except ConfigurationError as group:
+        faults = [str(fault) for fault in group.exceptions]
+        log.warning("settings file has faults", extra={"faults": faults})
+        return
+    log.info("settings file read again", extra={"changed": changed})
--- a/savorydale/config/loading.py
+++ b/savorydale/config/loading.py
@@ -20,7 +20,7 @@
     ConfigurationError
         With every fault of the file.
     """
-    return parse_config(_read_toml(path), str(path))
+    return parse_config(read_toml(path), str(path))
 
 
 def parse_config(data: JsonObject, name: str) -> EntryConfig:
@@ -34,7 +34,14 @@
     return data
 
 
-def _read_toml(path: pathlib.Path) -> JsonObject:
+def read_toml(path: pathlib.Path) -> JsonObject:
+    """Return the parsed TOML file at ``path``.
+
+    Raises
+    ------
+    ConfigurationError
+        If it cannot be read or is not TOML.
+    """
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
--- a/savorydale/entry.py
+++ b/savorydale/entry.py
@@ -22,9 +22,6 @@
 from savorydale.peers.membership import EntryLease, Membership
 from savorydale.peers.ownership import Ownership
 from savorydale.peers.records import EntryRecord
-from savorydale.platform.group_commit import GroupCommit
-from savorydale.platform.interface import Platform, VmStatus
-from savorydale.platform.table import Table
 from savorydale.routing.idempotency import IdempotencyKeys
 from savorydale.routing.router import Router
 from savorydale.routing.settling import SlotSettler
@@ -34,6 +31,9 @@
 from savorydale.scheduling.tasks import RACK_KIND, shard_units
 from savorydale.settings.follower import Changes, SettingsFollower
 from savorydale.settings.tree import SettingsTree
+from savorydale.storage.group_commit import GroupCommit
+from savorydale.storage.interface import Platform, VmStatus
+from savorydale.storage.table import Table
 from savorydale.utils.wall_clock import WallClock
 from savorydale.workers.directory import Directory
 from savorydale.workers.interface import WorkerClient
--- a/savorydale/exceptions.py
+++ b/savorydale/exceptions.py
@@ -84,6 +84,20 @@
         super().__init__(f"conditions do not hold for rows {', '.join(self.keys)}")
 
 
+class HistoryLostError(StoreError):
+    """The store no longer knows all changes since the version asked for."""
+
+    code = ResultCode.STORE_UNREACHABLE
+
+
+class RowFormatError(SavorydaleError):
+    """A stored row or a message cannot be read."""
+
+
+class LeadershipLostError(SavorydaleError):
+    """Another entry has taken over the scheduling of jobs."""
+
+
 class WorkerError(SavorydaleError):
     """Base class of a worker's failures."""
 
--- /dev/null
+++ b/savorydale/job_entry.py
@@ -0,0 +1,190 @@
+"""One process that accepts jobs, and schedules them while it holds the lease."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import uuid
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from savorydale.counters import Counters
+from savorydale.exceptions import LeadershipLostError, StoreError
+from savorydale.job_scheduler import JobScheduler, SchedulerTiming
+from savorydale.jobs.acceptance import JobDesk
+from savorydale.jobs.model import Configuration
+from savorydale.messages.vm_types import VmConfig
+from savorydale.orders.interface import WorkerOrders
+from savorydale.ownership.election import wait_for_lease
+from savorydale.ownership.lease import EntryIdentity, SchedulerLease
+from savorydale.platform.discovery import (
+    OPERATOR_TABLE,
+    WORKERS_TABLE,
+    ConfigurationFollower,
+    WorkerRegistry,
+)
+from savorydale.platform.frontend import Frontend
+from savorydale.platform.http import HttpClient
+from savorydale.platform.store import PlatformStore
+from savorydale.platform.workers import PlatformWorkers
+from savorydale.storage.follow import follow_table
+from savorydale.storage.rows import RowStore
+from savorydale.web.vm_pages import make_health_page, make_metrics_page
+
+CONFIG_WAIT_SECONDS = 1.0
+WORKERS_WAIT_SECONDS = 1.0
+STORE_CONTACT_SECONDS = 3.0  # without the store for longer, callers do better elsewhere
+RELEASE_TIMEOUT_SECONDS = 1.0
+SHUTDOWN_SECONDS = 2.0
+HEAD_START_SECONDS = 0.1  # for a VM with one whole core; longer for smaller ones
+MAX_HEAD_START_SECONDS = 0.6
+
+log = logging.getLogger(__name__)
+
+
+class JobEntry:
+    """All that one process does; see `run`."""
+
+    def __init__(self, config: VmConfig, http: HttpClient, counters: Counters):
+        self._config = config
+        self._counters = counters
+        self._store: RowStore = PlatformStore(http, config["store"]["address"])
+        self._orders: WorkerOrders = PlatformWorkers(http, counters)
+        self._configuration: Configuration | None = None
+        self._store_contact_at = 0.0
+        self._is_stopping = False
+        self._scheduler: JobScheduler | None = None
+        self._lease: SchedulerLease | None = None
+        self._identity = EntryIdentity(config["vm"]["name"], uuid.uuid4().hex[:12])
+
+    # What callers and the balancer see
+
+    def read_configuration(self) -> Configuration | None:
+        """Return the configuration in force, ``None`` before the first."""
+        return self._configuration
+
+    def is_ready(self) -> bool:
+        """Return whether this entry should get new connections."""
+        if self._configuration is None or self._is_stopping:
+            return False
+        age = asyncio.get_running_loop().time() - self._store_contact_at
+        return age < STORE_CONTACT_SECONDS
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then finish what is under way."""
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._follow_configuration()),
+                group.create_task(self._schedule_in_turn()),
+            ]
+            async with self._servers():
+                log.info("entry serves", extra={"vm": self._identity.vm})
+                await stop.wait()
+                log.info("entry stops", extra={"vm": self._identity.vm})
+                self._is_stopping = True
+                for task in tasks:
+                    task.cancel()
+                await self._release()
+
+    @contextlib.asynccontextmanager
+    async def _servers(self) -> AsyncIterator[None]:
+        """Open all HTTP servers; at the end, let requests under way finish."""
+        frontend = Frontend(
+            JobDesk(self._store), self._counters, self.read_configuration
+        )
+        listen = self._config["listen"]
+        pages = [
+            (frontend.make_application(), listen["callers"]),
+            (make_health_page(self.is_ready), listen["health"]),
+        ]
+        if listen["metrics_port"]:
+            address = f"{self._config['vm']['ip']}:{listen['metrics_port']}"
+            pages.append((make_metrics_page(self._counters), address))
+        async with contextlib.AsyncExitStack() as stack:
+            for application, address in pages:
+                await stack.enter_async_context(_serve(application, address))
+            yield
+
+    # Configuration
+
+    async def _follow_configuration(self) -> None:
+        follower = ConfigurationFollower(self._apply, self._note_contact)
+        await follow_table(self._store, OPERATOR_TABLE, follower, CONFIG_WAIT_SECONDS)
+
+    def _apply(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        log.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "queues": len(configuration.queue_by_name),
+            },
+        )
+
+    def _note_contact(self) -> None:
+        self._store_contact_at = asyncio.get_running_loop().time()
+
+    # Scheduling
+
+    async def _schedule_in_turn(self) -> None:
+        """Wait for the lease, schedule until it is lost, and wait again."""
+        power = (
+            self._config["vm"]["processor_share"]
+            * self._config["vm"]["processor_speed"]
+        )
+        head_start = min(MAX_HEAD_START_SECONDS, HEAD_START_SECONDS / power)
+        rng = random.Random(self._identity.incarnation)
+        while True:
+            lease = await wait_for_lease(self._store, self._identity, rng, head_start)
+            self._lease = lease
+            try:
+                await self._schedule(lease)
+            except* LeadershipLostError as group:
+                self._counters.increment("lease.lost")
+                log.warning("lease lost", extra={"reason": str(group.exceptions[0])})
+            except* StoreError as group:
+                log.warning(
+                    "jobs could not be loaded",
+                    extra={"reason": str(group.exceptions[0])},
+                )
+            self._lease = None
+
+    async def _schedule(self, lease: SchedulerLease) -> None:
+        timing = self._config["timing"]
+        scheduler = JobScheduler(
+            self._store,
+            self._orders,
+            lease,
+            SchedulerTiming(
+                timing["lease_max_ms"],
+                timing["early_ms"],
+                timing["status_retention_s"],
+            ),
+            self._counters,
+            self.read_configuration,
+        )
+        registry = WorkerRegistry(scheduler.replace_workers, self._counters)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                follow_table(self._store, WORKERS_TABLE, registry, WORKERS_WAIT_SECONDS)
+            )
+            group.create_task(scheduler.run())
+
+    async def _release(self) -> None:
+        if self._lease is not None:
+            await self._lease.release(RELEASE_TIMEOUT_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def _serve(application: web.Application, address: str) -> AsyncIterator[None]:
+    host, port = address.rsplit(":", 1)
+    runner = web.AppRunner(
+        application, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+    )
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        yield
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/savorydale/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""What a job is, its durable rows, and its state while it runs."""
--- /dev/null
+++ b/savorydale/jobs/acceptance.py
@@ -0,0 +1,207 @@
+"""Accept, show and cancel jobs at any entry, through the platform's store alone."""
+
+import asyncio
+import dataclasses
+import logging
+from typing import NamedTuple
+
+from savorydale.exceptions import StoreError
+from savorydale.jobs.model import JobSpec, QueueSettings
+from savorydale.jobs.rows import (
+    STATES_TABLE,
+    JobRow,
+    JobStatus,
+    StateRow,
+    SummaryRow,
+    cancel_key,
+    decode_state,
+    decode_summary,
+    encode_job,
+    encode_state,
+    job_key,
+    state_key,
+    summary_key,
+)
+from savorydale.storage.rows import (
+    ABSENT,
+    Committed,
+    Conflict,
+    NotDone,
+    OutcomeUnknown,
+    RowCondition,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+    read_row,
+)
+
+TRY_TIMEOUT_SECONDS = 0.8
+RETRY_DELAY_SECONDS = 0.1
+REFUSED_TRIES = 3  # tries that the store refuses before the caller is sent away
+SUMMARY_MAX_AGE_MS = 2_000
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """The job is stored; ``is_repeat`` if it already was."""
+
+    is_repeat: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobNotAccepted:
+    """The job is not stored by this call and never runs because of it."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobOutcomeUnknown:
+    """The job may be stored, now or later; the same submission may be repeated."""
+
+    reason: str
+
+
+Acceptance = JobAccepted | JobNotAccepted | JobOutcomeUnknown
+
+
+class CancelOutcome(NamedTuple):
+    """Whether the job exists, and whether the request to cancel it is stored."""
+
+    exists: bool
+    is_stored: bool
+
+
+class JobDesk:
+    """Serves submitters from the store; keeps final states, which never change."""
+
+    def __init__(self, store: RowStore):
+        self._store = store
+        self._final_by_job: dict[str, StateRow] = {}
+
+    async def submit(
+        self, job: str, spec: JobSpec, queue: QueueSettings, timeout_seconds: float
+    ) -> Acceptance:
+        """Store a job unless it is stored already."""
+        row = JobRow(spec, queue, 0)
+        state = StateRow(queue.name, JobStatus.QUEUED)
+        transaction = RowTransaction(
+            (RowCondition(state_key(job), ABSENT),),
+            (
+                RowWrite(job_key(job), encode_job(row)),
+                RowWrite(state_key(job), encode_state(state)),
+            ),
+        )
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        unknown_reason = ""
+        refusals = 0
+        while True:
+            left = deadline - loop.time()
+            if left <= 0:
+                return JobOutcomeUnknown(unknown_reason or "out of time")
+            timeout = min(TRY_TIMEOUT_SECONDS, left)
+            match await self._store.transact(transaction, timeout):
+                case Committed():
+                    return JobAccepted(is_repeat=False)
+                case Conflict():
+                    return JobAccepted(is_repeat=True)
+                case NotDone(reason):
+                    refusals += 1
+                    if not unknown_reason and refusals >= REFUSED_TRIES:
+                        return JobNotAccepted(reason)
+                case OutcomeUnknown(reason):
+                    unknown_reason = reason
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+    async def find(self, job: str, timeout_seconds: float) -> StateRow | None:
+        """Return the state of a job, or ``None`` if there is no such job.
+
+        Raises
+        ------
+        StoreError
+            If the store cannot be read in time.
+        """
+        final = self._final_by_job.get(job)
+        if final is not None:
+            return final
+        state, _ = await self._read_state(job, timeout_seconds)
+        return state
+
+    async def cancel(self, job: str, timeout_seconds: float) -> CancelOutcome:
+        """Store a request to cancel a job.
+
+        Raises
+        ------
+        StoreError
+            If the store cannot be read in time.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        while True:
+            state, version = await self._read_state(job, deadline - loop.time())
+            if state is None:
+                return CancelOutcome(exists=False, is_stored=False)
+            if state.status.is_final:
+                return CancelOutcome(exists=True, is_stored=True)
+            transaction = RowTransaction(
+                (RowCondition(state_key(job), version),),
+                (RowWrite(cancel_key(job), b"1"),),
+            )
+            outcome = await self._store.transact(
+                transaction, min(TRY_TIMEOUT_SECONDS, deadline - loop.time())
+            )
+            if isinstance(outcome, Committed):
+                return CancelOutcome(exists=True, is_stored=True)
+            if loop.time() + RETRY_DELAY_SECONDS >= deadline:
+                return CancelOutcome(exists=True, is_stored=False)
+            # The state changed meanwhile, or the store must be asked again.
+            if not isinstance(outcome, Conflict):
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+    async def count_pending(self, queue: str, timeout_seconds: float) -> int:
+        """Return how many jobs of a queue have not begun, up to 2 s old.
+
+        Raises
+        ------
+        StoreError
+            If the store cannot be read in time.
+        """
+        stored, page = await read_row(self._store, summary_key(queue), timeout_seconds)
+        if stored is not None and stored.value:
+            summary: SummaryRow = decode_summary(stored.value)
+            if page.now_ms - summary.counted_ms <= SUMMARY_MAX_AGE_MS:
+                return summary.pending
+        rows = await self._store.read_range(
+            STATES_TABLE, timeout_seconds=timeout_seconds
+        )
+        return sum(_is_pending(row, queue) for row in rows.rows)
+
+    async def _read_state(
+        self, job: str, timeout_seconds: float
+    ) -> tuple[StateRow | None, int]:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        while True:
+            timeout = min(TRY_TIMEOUT_SECONDS, max(0.0, deadline - loop.time()))
+            try:
+                stored, _ = await read_row(self._store, state_key(job), timeout)
+                break
+            except StoreError:
+                if loop.time() + RETRY_DELAY_SECONDS >= deadline:
+                    raise
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+        if stored is None or stored.value is None:
+            return None, ABSENT
+        state = decode_state(stored.value)
+        if state.status.is_final:
+            self._final_by_job[job] = state
+        return state, stored.version
+
+
+def _is_pending(row: StoredRow, queue: str) -> bool:
+    state = decode_state(row.value or b"")
+    return state.queue == queue and state.status is JobStatus.QUEUED
--- /dev/null
+++ b/savorydale/jobs/model.py
@@ -0,0 +1,172 @@
+"""Jobs, steps, tasks and queues, in the product's own terms."""
+
+from typing import NamedTuple
+
+from savorydale.exceptions import RowFormatError
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class StepSpec(NamedTuple):
+    """What the tasks of one step need.
+
+    Parameters
+    ----------
+    task_count : int
+        Tasks of the step.
+    cpu_millicores : int
+        Thousandths of a core for each task.
+    memory_mb : int
+        Memory of each task.
+    accelerators : int
+        Accelerators of each task.
+    estimate_ms : int
+        The submitter's rough estimate of a task's run time.
+    after : tuple of int
+        Earlier steps whose tasks must all have succeeded.
+    checkpointing : bool
+        Whether a task can resume from a checkpoint.
+    gang : bool
+        Whether the tasks work only together.
+    same_rack : bool
+        Whether a gang slows down when spread over several racks.
+    required_label : str
+        Label that the worker must have; empty for none.
+    data_rack : str
+        Rack that holds the step's data; empty for none.
+    max_per_worker : int
+        Most tasks of one occurrence on one worker; 0 for no limit.
+    speculative : bool
+        Whether copies of a task may run at the same time.
+    long_running : bool
+        Whether the tasks run until the job is cancelled.
+    image : str
+        Tasks of the same image behave alike.
+    latency_target_ms : int
+        Target for the tail of a service task's response times; 0 for none.
+    backfill : bool
+        Whether the tasks use only processors that others leave unused.
+    max_unavailable : int or None
+        Replicas that planned actions may make unavailable at once; ``None`` if the
+        step sets no limit.
+    """
+
+    task_count: int
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    backfill: bool = False
+    max_unavailable: int | None = None
+
+
+class JobSpec(NamedTuple):
+    """A job as it was submitted.
+
+    ``payload`` is passed to each task unchanged. A job with occurrences runs its
+    steps ``occurrence_count`` times; occurrence K is due at ``first_due_ms`` plus
+    K times ``interval_ms``, in milliseconds of Unix time.
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrence_count: int = 0
+
+    @property
+    def is_scheduled(self) -> bool:
+        """Return whether the job has occurrences by time."""
+        return self.occurrence_count > 0
+
+
+class QueueSettings(NamedTuple):
+    """A queue, from the configuration.
+
+    ``priority`` 0 comes first. A task may fail ``max_attempts`` times. A job should
+    end within ``stretch`` times its longest chain of work plus ``objective_ms``.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: float = 0.0
+    needs_advice: bool = False
+
+
+class Configuration(NamedTuple):
+    """The operator's configuration at one version."""
+
+    version: int
+    queue_by_name: dict[str, QueueSettings]
+    max_body_bytes: int
+
+    def find_queue(self, host: str, path: str) -> QueueSettings | None:
+        """Return the queue with the longest prefix of ``path`` on ``host``."""
+        matching = [
+            queue
+            for queue in self.queue_by_name.values()
+            if queue.host == host and path.startswith(queue.path_prefix)
+        ]
+        return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
+
+
+class TaskId(NamedTuple):
+    """Identifies one task of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskId":
+        """Return the task that ``str`` printed as ``text``.
+
+        Raises
+        ------
+        RowFormatError
+            If ``text`` names no task.
+        """
+        parts = text.split(".")
+        try:
+            job, occurrence, step, index = parts
+            return cls(job, int(occurrence), int(step), int(index))
+        except ValueError as error:
+            raise RowFormatError(f"{text!r} does not name a task") from error
+
+
+def find_spec_faults(spec: JobSpec) -> list[str]:
+    """Return what makes a job impossible to run, a sentence for each fault."""
+    faults = []
+    if not spec.steps:
+        faults.append("a job needs at least one step")
+    for number, step in enumerate(spec.steps):
+        if step.task_count < 1:
+            faults.append(f"step {number} has no tasks")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            faults.append(f"step {number} must come after earlier steps only")
+        sizes = (step.cpu_millicores, step.memory_mb, step.accelerators)
+        if min(sizes) < 0:
+            faults.append(f"step {number} asks for less than nothing")
+    if spec.occurrence_count < 0 or spec.interval_ms < 0:
+        faults.append("occurrences and their interval cannot be negative")
+    return faults
--- /dev/null
+++ b/savorydale/jobs/rows.py
@@ -0,0 +1,213 @@
+"""Durable rows of jobs: the tables and how their values are written.
+
+==========  ===================  ==============================================
+Table       Key                  Value
+==========  ===================  ==============================================
+jobs        job                  the job as submitted, until it has ended
+jobs        job + ``.cancel``    a request to cancel the job
+states      job                  queue and state, kept after the job has ended
+steps       job.occurrence.step  progress of the tasks of one step
+summaries   queue                jobs of the queue that have not begun
+scheduler   ``lease``            which entry schedules; chains its transactions
+==========  ===================  ==============================================
+"""
+
+import json
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from savorydale.exceptions import RowFormatError
+from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.storage.rows import RowKey
+
+JOBS_TABLE = "jobs"
+STATES_TABLE = "states"
+STEPS_TABLE = "steps"
+SUMMARIES_TABLE = "summaries"
+SCHEDULER_TABLE = "scheduler"
+CANCEL_SUFFIX = ".cancel"
+LEASE_KEY = RowKey(SCHEDULER_TABLE, "lease")
+
+
+class JobStatus(StrEnum):
+    """State of a job as its submitter sees it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the state never changes again."""
+        return self in (self.COMPLETED, self.FAILED, self.CANCELLED)
+
+
+class JobRow(NamedTuple):
+    """An accepted job: its spec and its queue's settings when it was accepted.
+
+    ``accepted_ms`` is on the store's steady clock.
+    """
+
+    spec: JobSpec
+    queue: QueueSettings
+    accepted_ms: int
+
+
+class StateRow(NamedTuple):
+    """State of a job, and its queue.
+
+    ``ended_ms`` is on the store's steady clock, 0 while the job has not ended.
+    """
+
+    queue: str
+    status: JobStatus
+    ended_ms: int = 0
+
+
+class TaskRow(NamedTuple):
+    """Progress of one task.
+
+    ``worker`` is the worker that the latest run was assigned to, empty if none.
+    """
+
+    done: bool
+    run: int
+    failures: int
+    worker: str
+    checkpoint: str
+
+
+class SummaryRow(NamedTuple):
+    """How many jobs of a queue have not begun, and when that was counted.
+
+    ``counted_ms`` is on the store's steady clock.
+    """
+
+    pending: int
+    counted_ms: int
+
+
+def job_key(job: str) -> RowKey:
+    """Return the name of the row with the job's spec."""
+    return RowKey(JOBS_TABLE, job)
+
+
+def cancel_key(job: str) -> RowKey:
+    """Return the name of the row that asks to cancel the job."""
+    return RowKey(JOBS_TABLE, job + CANCEL_SUFFIX)
+
+
+def state_key(job: str) -> RowKey:
+    """Return the name of the row with the job's state."""
+    return RowKey(STATES_TABLE, job)
+
+
+def step_key(job: str, occurrence: int, step: int) -> RowKey:
+    """Return the name of the row with a step's progress."""
+    return RowKey(STEPS_TABLE, f"{job}.{occurrence}.{step}")
+
+
+def summary_key(queue: str) -> RowKey:
+    """Return the name of the row that counts a queue's waiting jobs."""
+    return RowKey(SUMMARIES_TABLE, queue)
+
+
+def encode_job(row: JobRow) -> bytes:
+    """Return the value of a job's row."""
+    spec = row.spec
+    defaults = StepSpec(0)
+    steps = [
+        {
+            name: value
+            for name, value in step._asdict().items()
+            if value != getattr(defaults, name)
+        }
+        for step in spec.steps
+    ]
+    timing = [spec.first_due_ms, spec.interval_ms, spec.occurrence_count]
+    return _dump(
+        {
+            "payload": spec.payload,
+            "steps": steps,
+            "timing": timing,
+            "queue": row.queue._asdict(),
+            "accepted_ms": row.accepted_ms,
+        }
+    )
+
+
+def decode_job(value: bytes) -> JobRow:
+    """Return the job that `encode_job` wrote."""
+    data = _load(value)
+    try:
+        steps = tuple(
+            StepSpec(**{**step, "after": tuple(step.get("after", ()))})
+            for step in data["steps"]
+        )
+        spec = JobSpec(data["payload"], steps, *data["timing"])
+        return JobRow(spec, QueueSettings(**data["queue"]), data["accepted_ms"])
+    except (KeyError, TypeError) as error:
+        raise RowFormatError(f"a job's row has the wrong form: {error!r}") from error
+
+
+def encode_state(row: StateRow) -> bytes:
+    """Return the value of a job's state row."""
+    return _dump([row.queue, row.status, row.ended_ms])
+
+
+def decode_state(value: bytes) -> StateRow:
+    """Return the state that `encode_state` wrote."""
+    data = _load(value)
+    try:
+        queue, status, ended_ms = data
+        return StateRow(queue, JobStatus(status), ended_ms)
+    except (TypeError, ValueError) as error:
+        raise RowFormatError(f"a state row has the wrong form: {error!r}") from error
+
+
+def encode_step(rows: list[TaskRow]) -> bytes:
+    """Return the value of a step's row, one entry for each task."""
+    return _dump(
+        [[int(row.done), *row[1:4], row.checkpoint] if row.run else 0 for row in rows]
+    )
+
+
+def decode_step(value: bytes) -> list[TaskRow]:
+    """Return the progress that `encode_step` wrote."""
+    data = _load(value)
+    try:
+        return [
+            TaskRow(bool(entry[0]), *entry[1:])
+            if entry
+            else TaskRow(False, 0, 0, "", "")
+            for entry in data
+        ]
+    except (TypeError, IndexError) as error:
+        raise RowFormatError(f"a step's row has the wrong form: {error!r}") from error
+
+
+def encode_summary(row: SummaryRow) -> bytes:
+    """Return the value of a queue's summary row."""
+    return _dump(list(row))
+
+
+def decode_summary(value: bytes) -> SummaryRow:
+    """Return the summary that `encode_summary` wrote."""
+    data = _load(value)
+    try:
+        return SummaryRow(*data)
+    except TypeError as error:
+        raise RowFormatError(f"a summary has the wrong form: {error!r}") from error
+
+
+def _dump(data: object) -> bytes:
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def _load(value: bytes) -> Any:
+    try:
+        return json.loads(value)
+    except ValueError as error:
+        raise RowFormatError("a stored row is not JSON") from error
--- a/savorydale/messages/schemas.py
+++ b/savorydale/messages/schemas.py
@@ -384,3 +384,271 @@
  'required': ['kind'],
  'title': 'SettingsNode',
  'type': 'object'}
+
+VM_SCHEMA = {'$schema': 'https://json-schema.org/draft/2020-12/schema',
+ 'additionalProperties': False,
+ 'description': 'The settings file of one process that accepts and schedules jobs.',
+ 'properties': {'advice': {'additionalProperties': False,
+                           'properties': {'address': {'default': '',
+                                                      'description': 'Address '
+                                                                     '(host:port) of '
+                                                                     'the placement '
+                                                                     'policy service; '
+                                                                     'empty for none.',
+                                                      'type': 'string'}},
+                           'title': 'AdviceOptions',
+                           'type': 'object'},
+                'listen': {'additionalProperties': False,
+                           'properties': {'callers': {'description': 'Address '
+                                                                     '(host:port) for '
+                                                                     'callers.',
+                                                      'pattern': '^[^:]+:[0-9]+$',
+                                                      'type': 'string'},
+                                          'health': {'description': 'Address '
+                                                                    '(host:port) of '
+                                                                    'the readiness '
+                                                                    'page.',
+                                                     'pattern': '^[^:]+:[0-9]+$',
+                                                     'type': 'string'},
+                                          'metrics_port': {'default': 0,
+                                                           'description': 'TCP port of '
+                                                                          'the metrics '
+                                                                          'page; 0 for '
+                                                                          'none.',
+                                                           'maximum': 65535,
+                                                           'minimum': 0,
+                                                           'type': 'integer'}},
+                           'required': ['callers', 'health'],
+                           'title': 'ListenOptions',
+                           'type': 'object'},
+                'logging': {'additionalProperties': False,
+                            'properties': {'level': {'default': 'info',
+                                                     'description': 'Lowest level that '
+                                                                    'is written.',
+                                                     'enum': ['debug',
+                                                              'info',
+                                                              'warning',
+                                                              'error']}},
+                            'title': 'VmLoggingOptions',
+                            'type': 'object'},
+                'store': {'additionalProperties': False,
+                          'properties': {'address': {'description': 'Address '
+                                                                    '(host:port) of '
+                                                                    "the platform's "
+                                                                    'store.',
+                                                     'pattern': '^[^:]+:[0-9]+$',
+                                                     'type': 'string'},
+                                         'row_bytes': {'default': 65536,
+                                                       'description': 'Largest value '
+                                                                      'of one row.',
+                                                       'minimum': 1024,
+                                                       'type': 'integer'}},
+                          'required': ['address'],
+                          'title': 'StoreOptions',
+                          'type': 'object'},
+                'timing': {'additionalProperties': False,
+                           'properties': {'checkpoint_s': {'default': 2,
+                                                           'description': 'Work '
+                                                                          'between two '
+                                                                          'checkpoints '
+                                                                          'of a task.',
+                                                           'minimum': 0,
+                                                           'type': 'number'},
+                                          'config_apply_ms': {'default': 2000,
+                                                              'description': 'Time '
+                                                                             'within '
+                                                                             'which an '
+                                                                             'accepted '
+                                                                             'configuration '
+                                                                             'is in '
+                                                                             'force.',
+                                                              'minimum': 100,
+                                                              'type': 'number'},
+                                          'drain_ms': {'default': 2000,
+                                                       'description': 'Time after '
+                                                                      'which a leaving '
+                                                                      'worker gets no '
+                                                                      'more tasks.',
+                                                       'minimum': 0,
+                                                       'type': 'number'},
+                                          'early_ms': {'default': 250,
+                                                       'description': 'How early an '
+                                                                      'occurrence may '
+                                                                      'start.',
+                                                       'minimum': 0,
+                                                       'type': 'number'},
+                                          'gang_timeout_ms': {'default': 3000,
+                                                              'description': 'How long '
+                                                                             'a member '
+                                                                             'of a '
+                                                                             'gang '
+                                                                             'waits '
+                                                                             'for the '
+                                                                             'others.',
+                                                              'minimum': 0,
+                                                              'type': 'number'},
+                                          'heartbeat_ms': {'default': 1500,
+                                                           'description': 'Time '
+                                                                          'between a '
+                                                                          "worker's "
+                                                                          'writes to '
+                                                                          'the store.',
+                                                           'minimum': 50,
+                                                           'type': 'number'},
+                                          'latency_breach_ms': {'default': 4000,
+                                                                'description': 'Longest '
+                                                                               'time '
+                                                                               'that '
+                                                                               'backfill '
+                                                                               'may '
+                                                                               'keep a '
+                                                                               'service '
+                                                                               'over '
+                                                                               'its '
+                                                                               'latency '
+                                                                               'target.',
+                                                                'minimum': 0,
+                                                                'type': 'number'},
+                                          'lease_max_ms': {'description': 'Longest '
+                                                                          'lease that '
+                                                                          'a worker '
+                                                                          'grants.',
+                                                           'minimum': 100,
+                                                           'type': 'number'},
+                                          'maintenance_s': {'default': 2,
+                                                            'description': 'How long '
+                                                                           'the upkeep '
+                                                                           'of a VM '
+                                                                           'takes.',
+                                                            'minimum': 0,
+                                                            'type': 'number'},
+                                          'notice_ms': {'default': 4500,
+                                                        'description': 'Time after '
+                                                                       'which a '
+                                                                       'replica that '
+                                                                       'is not at work '
+                                                                       'counts as '
+                                                                       'unavailable.',
+                                                        'minimum': 0,
+                                                        'type': 'number'},
+                                          'remote_factor': {'default': 2,
+                                                            'description': 'How much '
+                                                                           'longer a '
+                                                                           'task takes '
+                                                                           'away from '
+                                                                           'its data.',
+                                                            'minimum': 1,
+                                                            'type': 'number'},
+                                          'restore_ms': {'default': 600,
+                                                         'description': 'Time that '
+                                                                        'resuming from '
+                                                                        'a checkpoint '
+                                                                        'takes.',
+                                                         'minimum': 0,
+                                                         'type': 'number'},
+                                          'status_retention_s': {'default': 120,
+                                                                 'description': 'How '
+                                                                                'long '
+                                                                                'an '
+                                                                                'ended '
+                                                                                'job '
+                                                                                'can '
+                                                                                'be '
+                                                                                'asked '
+                                                                                'for.',
+                                                                 'minimum': 1,
+                                                                 'type': 'number'},
+                                          'stop_grace_s': {'default': 6,
+                                                           'description': 'Time that a '
+                                                                          'stopping '
+                                                                          'process '
+                                                                          'has.',
+                                                           'minimum': 0,
+                                                           'type': 'number'},
+                                          'stop_timeout_ms': {'default': 900,
+                                                              'description': 'Longest '
+                                                                             'time '
+                                                                             'that a '
+                                                                             'worker '
+                                                                             'takes to '
+                                                                             'stop a '
+                                                                             'task.',
+                                                              'minimum': 0,
+                                                              'type': 'number'},
+                                          'vm_order_lease_ms': {'default': 3000,
+                                                                'description': 'Time '
+                                                                               'between '
+                                                                               'orders '
+                                                                               'of two '
+                                                                               'holders '
+                                                                               'for '
+                                                                               'one '
+                                                                               'VM.',
+                                                                'minimum': 0,
+                                                                'type': 'number'}},
+                           'required': ['lease_max_ms'],
+                           'title': 'TimingOptions',
+                           'type': 'object'},
+                'vm': {'additionalProperties': False,
+                       'properties': {'ip': {'description': 'IP number that other '
+                                                            'entries reach.',
+                                             'minLength': 1,
+                                             'type': 'string'},
+                                      'memory_mb': {'default': 256,
+                                                    'description': 'Memory limit of '
+                                                                   'the process.',
+                                                    'minimum': 32,
+                                                    'type': 'integer'},
+                                      'name': {'description': 'Name of this VM, unique '
+                                                              'among the entries.',
+                                               'minLength': 1,
+                                               'type': 'string'},
+                                      'processor_share': {'default': 1.0,
+                                                          'description': 'Share of a '
+                                                                         'core that '
+                                                                         'this process '
+                                                                         'may use.',
+                                                          'exclusiveMinimum': 0,
+                                                          'type': 'number'},
+                                      'processor_speed': {'default': 1.0,
+                                                          'description': 'Speed of '
+                                                                         'that core.',
+                                                          'exclusiveMinimum': 0,
+                                                          'type': 'number'},
+                                      'zone': {'description': 'Availability zone of '
+                                                              'this VM.',
+                                               'minLength': 1,
+                                               'type': 'string'}},
+                       'required': ['name', 'zone', 'ip'],
+                       'title': 'VmOptions',
+                       'type': 'object'},
+                'vms': {'additionalProperties': False,
+                        'properties': {'address': {'default': '',
+                                                   'description': 'Address (host:port) '
+                                                                  'of the list of '
+                                                                  'worker VMs; empty '
+                                                                  'for none.',
+                                                   'type': 'string'},
+                                       'fences_orders': {'default': True,
+                                                         'description': 'Whether '
+                                                                        'orders for '
+                                                                        'VMs are '
+                                                                        'checked '
+                                                                        'against '
+                                                                        'fencing '
+                                                                        'tokens.',
+                                                         'type': 'boolean'},
+                                       'orders_per_second': {'default': 1.0,
+                                                             'description': 'Orders '
+                                                                            'for VMs '
+                                                                            'that all '
+                                                                            'entries '
+                                                                            'together '
+                                                                            'may send.',
+                                                             'minimum': 0,
+                                                             'type': 'number'}},
+                        'title': 'VmListOptions',
+                        'type': 'object'}},
+ 'required': ['vm', 'listen', 'store', 'timing'],
+ 'title': 'VmConfig',
+ 'type': 'object'}
--- /dev/null
+++ b/savorydale/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to workers, and what workers report of their runs."""
--- /dev/null
+++ b/savorydale/orders/runs.py
@@ -0,0 +1,78 @@
+"""Runs that one worker holds, or may hold, as the scheduling entry knows them."""
+
+import dataclasses
+from enum import Enum
+
+from savorydale.jobs.model import StepSpec, TaskId
+from savorydale.orders.interface import Resources
+
+FULL_SPEED_PERCENT = 100
+
+
+class RunState(Enum):
+    """What is known of a run on its worker."""
+
+    ASSIGNED = "assigned"  # the start order has not been answered yet
+    UNKNOWN = "unknown"  # the start order may be carried out, or already was
+    ACTIVE = "active"  # the worker has confirmed the run
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One run of a task on one worker.
+
+    ``settling_token`` is the fencing token from which on a list that lacks an unknown
+    run proves that the run does not exist and never will. ``confirmed_at``,
+    ``stop_sent_at`` and ``assigned_at`` are on the loop's clock.
+    """
+
+    task: TaskId
+    number: int
+    spec: StepSpec
+    assigned_at: float
+    state: RunState = RunState.ASSIGNED
+    settling_token: int = 0
+    confirmed_at: float = 0.0
+    stop_wanted: bool = False
+    stop_sent_at: float = 0.0
+    percent: float = FULL_SPEED_PERCENT
+    wanted_percent: float = FULL_SPEED_PERCENT
+    usage: float = 0.0
+
+
+class WorkerLoad:
+    """What the runs on one worker take of its capacity.
+
+    Runs that are being stopped or whose state is unknown count in full. Backfill takes
+    memory and accelerators, but only processors that other runs leave unused.
+    """
+
+    def __init__(self, capacity: Resources):
+        self.capacity = capacity
+        self.cpu_millicores = 0
+        self.service_millicores = 0
+        self.backfill_millicores = 0
+        self.memory_mb = 0
+        self.accelerators = 0
+
+    def add(self, spec: StepSpec, sign: int = 1) -> None:
+        """Count one task of a step; ``sign`` -1 removes it."""
+        if spec.backfill:
+            self.backfill_millicores += sign * spec.cpu_millicores
+        else:
+            self.cpu_millicores += sign * spec.cpu_millicores
+        if spec.long_running:
+            self.service_millicores += sign * spec.cpu_millicores
+        self.memory_mb += sign * spec.memory_mb
+        self.accelerators += sign * spec.accelerators
+
+    def fits(self, spec: StepSpec) -> bool:
+        """Return whether one more task of a step fits."""
+        capacity = self.capacity
+        if self.memory_mb + spec.memory_mb > capacity.memory_mb:
+            return False
+        if self.accelerators + spec.accelerators > capacity.accelerators:
+            return False
+        if spec.backfill:
+            return spec.cpu_millicores <= capacity.cpu_millicores
+        return self.cpu_millicores + spec.cpu_millicores <= capacity.cpu_millicores
--- /dev/null
+++ b/savorydale/orders/worker_link.py
@@ -0,0 +1,415 @@
+"""One worker as the scheduling entry drives it: leases, orders, and ends of runs.
+
+A start order that is not answered is settled, not guessed: the worker's fencing token
+is raised, so that the order is refused if it arrives later, and the next list that was
+asked for with the new token says whether the run is there.
+"""
+
+import asyncio
+import logging
+from typing import Protocol
+
+from savorydale.counters import Counters
+from savorydale.exceptions import LeadershipLostError
+from savorydale.jobs.model import TaskId
+from savorydale.orders.interface import (
+    Accepted,
+    ActiveRun,
+    EndedRun,
+    Held,
+    HoldOrder,
+    RefusalReason,
+    Refused,
+    StartOrder,
+    Unanswered,
+    WorkerInfo,
+    WorkerOrders,
+    WorkerTarget,
+)
+from savorydale.orders.runs import Run, RunState, WorkerLoad
+
+HOLD_WAIT_MS = 500
+HOLD_RETRY_SECONDS = 0.2
+ACKNOWLEDGE_WAIT_SECONDS = 0.3
+CONTACT_SECONDS = 1.6  # a few holds may fail before a worker gets no more starts
+STOP_RETRY_SECONDS = 1.0
+CONCURRENT_ORDERS = 2
+CLOCK_DRIFT = 0.02  # a worker's steady clock may be this much slow
+LAPSE_MARGIN_SECONDS = 0.2
+UNHEARD_LAPSE_MARGIN_SECONDS = 1.0
+TOKENS_PER_EPOCH = 1_000_000
+MILLISECONDS = 1000
+
+log = logging.getLogger(__name__)
+
+
+class LinkListener(Protocol):
+    """Is told what happens on a worker."""
+
+    def on_end(self, link: "WorkerLink", end: EndedRun) -> None:
+        """Take in the end of a run, which is acknowledged once it is durable."""
+
+    def on_lost(self, link: "WorkerLink", run: Run, reason: str) -> None:
+        """Take in that a run does not exist and never will again."""
+
+    def on_report(self, link: "WorkerLink") -> None:
+        """Take in that the usage of all active runs was renewed."""
+
+
+class WorkerLink:
+    """Orders to one worker and what it holds."""
+
+    def __init__(
+        self,
+        info: WorkerInfo,
+        orders: WorkerOrders,
+        listener: LinkListener,
+        epoch: int,
+        lease_max_ms: float,
+        counters: Counters,
+    ):
+        self.info = info
+        self.load = WorkerLoad(info.capacity)
+        self.run_by_task: dict[TaskId, Run] = {}
+        self.acknowledged = 0
+        self.processed = 0
+        self.contact_at: float | None = None
+        self.is_registered = True
+        self.is_closed = False
+        self.refused_until = 0.0
+        self.born_ms: int | None = None
+        self._orders = orders
+        self._listener = listener
+        self._token = epoch * TOKENS_PER_EPOCH
+        self._lease_max_ms = lease_max_ms
+        self._counters = counters
+        self._clock_ms: int | None = None
+        self._clock_at = 0.0
+        self._lease_end_ms = 0
+        self._created_at = asyncio.get_running_loop().time()
+        self._slots = asyncio.Semaphore(CONCURRENT_ORDERS)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self._failure: BaseException | None = None
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's identifier."""
+        return self.info.worker
+
+    def is_in_contact(self, now: float) -> bool:
+        """Return whether the worker has answered lately."""
+        return self.contact_at is not None and now - self.contact_at < CONTACT_SECONDS
+
+    # What the worker holds
+
+    def restore(self, run: Run) -> None:
+        """Take over a run that an earlier holder of the lease assigned."""
+        run.state = RunState.UNKNOWN
+        run.settling_token = self._token
+        self._add(run)
+
+    def start(self, run: Run, payload: str, checkpoint: str, ticket: str = "") -> None:
+        """Send the start order of a run whose assignment is durable."""
+        if self.run_by_task.get(run.task) is run:
+            self._spawn(self._start(run, payload, checkpoint, ticket))
+
+    def reserve(self, run: Run) -> None:
+        """Count a run that is assigned but whose start order is not sent yet."""
+        self._add(run)
+
+    def unreserve(self, run: Run) -> None:
+        """Undo `reserve` for a run that was not assigned after all."""
+        self._remove(run)
+
+    def stop(self, run: Run) -> None:
+        """Stop a run; repeated until its end is listed."""
+        run.stop_wanted = True
+        if run.state is RunState.ACTIVE:
+            self._send_stop(run)
+
+    def throttle(self, run: Run, percent: int) -> None:
+        """Let a run work at a share of its speed."""
+        run.wanted_percent = percent
+        self._spawn(self._throttle(run, percent))
+
+    # Time
+
+    def lapse_at(self) -> float:
+        """Return when every lease ever asked for on this worker has surely ended."""
+        if self._clock_ms is None:
+            longest = self._lease_max_ms / MILLISECONDS / (1 - CLOCK_DRIFT)
+            return self._created_at + longest + UNHEARD_LAPSE_MARGIN_SECONDS
+        left_ms = max(0, self._lease_end_ms - self._clock_ms)
+        left = left_ms / MILLISECONDS / (1 - CLOCK_DRIFT)
+        return self._clock_at + left + LAPSE_MARGIN_SECONDS
+
+    def _next_lease_end(self) -> int | None:
+        if self._clock_ms is None:
+            return None
+        elapsed = asyncio.get_running_loop().time() - self._clock_at
+        clock_ms = self._clock_ms + elapsed * MILLISECONDS
+        end_ms = int(clock_ms + self._lease_max_ms)
+        self._lease_end_ms = max(self._lease_end_ms, end_ms)
+        return end_ms
+
+    def _note_clock(self, clock_ms: int) -> None:
+        self._clock_ms = clock_ms
+        self._clock_at = asyncio.get_running_loop().time()
+
+    # The worker's own task
+
+    async def run(self) -> None:
+        """Renew the lease and follow the worker's lists until cancelled."""
+        try:
+            while not self._is_needless():
+                await self._hold_once()
+                if self._failure is not None:
+                    raise self._failure
+        finally:
+            self.is_closed = True
+            for task in self._tasks:
+                task.cancel()
+
+    def _is_needless(self) -> bool:
+        """Return whether the worker is gone and holds nothing."""
+        now = asyncio.get_running_loop().time()
+        gone = not self.is_registered and not self.is_in_contact(now)
+        return gone and not self.run_by_task and now >= self.lapse_at()
+
+    async def _hold_once(self) -> None:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        token = self._token
+        is_first = self.contact_at is None or bool(self._unsettled())
+        order = HoldOrder(
+            self.acknowledged, self._next_lease_end(), 0 if is_first else HOLD_WAIT_MS
+        )
+        outcome = await self._orders.hold(self._target(token), order)
+        match outcome:
+            case Held():
+                self._take_in(outcome, sent_at, token)
+                await self._wait_for_acknowledgement()
+                return
+            case Refused(RefusalReason.FENCED):
+                self._check_fenced(token)
+            case Refused(reason, detail):
+                self._counters.increment(f"hold.refused.{reason}")
+                log.debug(
+                    "hold refused", extra=self._extra(reason=reason, detail=detail)
+                )
+            case Unanswered(detail):
+                self._counters.increment("hold.unanswered")
+                log.debug("hold unanswered", extra=self._extra(detail=detail))
+        self._give_up_lapsed(loop.time())
+        await asyncio.sleep(HOLD_RETRY_SECONDS)
+
+    async def _wait_for_acknowledgement(self) -> None:
+        """Give ends time to become durable, so that they are not listed again."""
+        if self.processed <= self.acknowledged:
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(ACKNOWLEDGE_WAIT_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            log.debug("ends are not durable yet", extra=self._extra())
+
+    def acknowledge(self, number: int, born_ms: int | None) -> None:
+        """Note that all ends up to ``number`` of one life are durable."""
+        if born_ms == self.born_ms:
+            self.acknowledged = max(self.acknowledged, number)
+        self._wake.set()
+
+    def _take_in(self, held: Held, sent_at: float, token: int) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.born_ms is not None and held.born_ms != self.born_ms:
+            self._forget_earlier_life(held.born_ms)
+        self.born_ms = held.born_ms
+        if self.contact_at is None or now - self.contact_at > CONTACT_SECONDS:
+            log.info("worker answers", extra=self._extra(active=len(held.active)))
+        self.contact_at = now
+        self._note_clock(held.clock_ms)
+        self._take_in_ends(held.ended)
+        active_by_task = {active.task: active for active in held.active}
+        for run in list(self.run_by_task.values()):
+            self._compare(run, active_by_task.pop(run.task, None), sent_at, token)
+        for active in active_by_task.values():
+            self._stop_stray(active)
+        self._listener.on_report(self)
+
+    def _take_in_ends(self, ended: tuple[EndedRun, ...]) -> None:
+        for end in ended:
+            if end.number <= self.processed:
+                continue
+            self.processed = end.number
+            run = self.run_by_task.get(end.task)
+            if run is not None and run.number == end.run:
+                self._remove(run)
+            self._listener.on_end(self, end)
+
+    def _compare(
+        self, run: Run, active: ActiveRun | None, sent_at: float, token: int
+    ) -> None:
+        if active is not None and active.run == run.number:
+            self._confirm(run)
+            run.percent = active.percent
+            run.usage = active.usage
+            if run.stop_wanted:
+                self._send_stop(run)
+            return
+        is_settled = run.state is RunState.UNKNOWN and token >= run.settling_token
+        is_vanished = run.state is RunState.ACTIVE and run.confirmed_at < sent_at
+        if is_settled or is_vanished:
+            self._lose(run, "not started" if is_settled else "vanished")
+
+    def _stop_stray(self, active: ActiveRun) -> None:
+        self._counters.increment("run.stray")
+        log.warning(
+            "stray run is stopped",
+            extra=self._extra(task=str(active.task), run=active.run),
+        )
+        self._spawn(self._stop(active.task, active.run))
+
+    def _forget_earlier_life(self, born_ms: int) -> None:
+        log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
+        self.processed = 0
+        self.acknowledged = 0
+        self._lease_end_ms = 0
+        for run in list(self.run_by_task.values()):
+            self._lose(run, "worker restarted")
+
+    def _give_up_lapsed(self, now: float) -> None:
+        if self.is_in_contact(now) or now < self.lapse_at():
+            return
+        for run in list(self.run_by_task.values()):
+            self._lose(run, "lease lapsed")
+
+    # Orders
+
+    async def _start(
+        self, run: Run, payload: str, checkpoint: str, ticket: str
+    ) -> None:
+        async with self._slots:
+            if self.run_by_task.get(run.task) is not run or run.stop_wanted:
+                self._lose(run, "stopped before its start")
+                return
+            token = self._token
+            lease_end_ms = self._next_lease_end()
+            if lease_end_ms is None:
+                self._lose(run, "clock of the worker is not known")
+                return
+            order = StartOrder(
+                run.task, run.number, payload, lease_end_ms, checkpoint, ticket
+            )
+            outcome = await self._orders.start(self._target(token), order)
+        if self.run_by_task.get(run.task) is not run:
+            return
+        extra = self._extra(task=str(run.task), run=run.number, token=token)
+        match outcome:
+            case Accepted():
+                self._confirm(run)
+                self._counters.increment("start.accepted")
+                log.info("run started", extra=extra)
+                if run.stop_wanted:
+                    self._send_stop(run)
+            case Refused(reason, detail):
+                self._counters.increment(f"start.refused.{reason}")
+                log.info(
+                    "start refused", extra={**extra, "reason": reason, "detail": detail}
+                )
+                if reason is RefusalReason.FENCED:
+                    self._check_fenced(token)
+                self._lose(run, f"start refused: {reason}")
+            case Unanswered(detail):
+                self._counters.increment("start.unanswered")
+                log.info("start unanswered", extra={**extra, "detail": detail})
+                if run.state is RunState.ASSIGNED:
+                    self._token += 1
+                    run.state = RunState.UNKNOWN
+                    run.settling_token = self._token
+
+    def _send_stop(self, run: Run) -> None:
+        now = asyncio.get_running_loop().time()
+        if run.stop_sent_at and now - run.stop_sent_at < STOP_RETRY_SECONDS:
+            return
+        run.stop_sent_at = now
+        self._spawn(self._stop(run.task, run.number))
+
+    async def _stop(self, task: TaskId, number: int) -> None:
+        token = self._token
+        async with self._slots:
+            outcome = await self._orders.stop(self._target(token), task, number)
+        log.info(
+            "stop ordered",
+            extra=self._extra(task=str(task), run=number, outcome=repr(outcome)),
+        )
+        if isinstance(outcome, Refused) and outcome.reason is RefusalReason.FENCED:
+            self._check_fenced(token)
+
+    async def _throttle(self, run: Run, percent: int) -> None:
+        token = self._token
+        async with self._slots:
+            outcome = await self._orders.throttle(
+                self._target(token), run.task, run.number, percent
+            )
+        match outcome:
+            case Accepted():
+                run.percent = percent
+            case Refused(RefusalReason.FENCED):
+                self._check_fenced(token)
+            case Refused() | Unanswered():
+                self._counters.increment("throttle.failed")
+                log.info(
+                    "throttle failed",
+                    extra=self._extra(task=str(run.task), outcome=repr(outcome)),
+                )
+
+    def _check_fenced(self, token: int) -> None:
+        """Stand down if the refusal was not caused by our own newer token."""
+        if token < self._token:
+            return
+        self._failure = LeadershipLostError(
+            f"worker {self.worker} has seen a newer fencing token than {token}"
+        )
+
+    # Bookkeeping
+
+    def _target(self, token: int) -> WorkerTarget:
+        return WorkerTarget(self.worker, self.info.address, token)
+
+    def _confirm(self, run: Run) -> None:
+        if run.state is not RunState.ACTIVE:
+            run.state = RunState.ACTIVE
+            run.confirmed_at = asyncio.get_running_loop().time()
+
+    def _unsettled(self) -> list[Run]:
+        return [r for r in self.run_by_task.values() if r.state is RunState.UNKNOWN]
+
+    def _add(self, run: Run) -> None:
+        self.run_by_task[run.task] = run
+        self.load.add(run.spec)
+
+    def _remove(self, run: Run) -> None:
+        if self.run_by_task.get(run.task) is run:
+            del self.run_by_task[run.task]
+            self.load.add(run.spec, -1)
+
+    def _lose(self, run: Run, reason: str) -> None:
+        if self.run_by_task.get(run.task) is not run:
+            return
+        self._remove(run)
+        self._listener.on_lost(self, run, reason)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
+
+    def _extra(self, **values: object) -> dict[str, object]:
+        return {"worker": self.worker, **values}
--- /dev/null
+++ b/savorydale/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry schedules, and how another one takes over."""
--- /dev/null
+++ b/savorydale/ownership/election.py
@@ -0,0 +1,96 @@
+"""Wait until this entry may schedule: watch the lease and take it over."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+
+from savorydale.exceptions import StoreError
+from savorydale.jobs.rows import LEASE_KEY
+from savorydale.ownership.lease import (
+    EntryIdentity,
+    LeaseRow,
+    SchedulerLease,
+    decode_lease,
+    try_to_acquire,
+)
+from savorydale.storage.rows import RowStore, read_row
+
+POLL_SECONDS = 0.5
+POLL_TIMEOUT_SECONDS = 0.4
+LEASE_SECONDS = 2.0
+RENEWAL_SECONDS = 0.5
+POLL_GAP_SECONDS = 1.2  # longer gaps between polls start the observation anew
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseObservation:
+    """How long this entry has seen the lease unchanged, without a gap."""
+
+    version: int = -1
+    unchanged_since: float = 0.0
+    polled_at: float = 0.0
+
+    def has_lapsed(self, version: int, now: float) -> bool:
+        """Take in one poll and return whether the holder has not renewed in time.
+
+        Only time during which this entry itself could read the store counts: while
+        the store is out, the holder cannot renew either.
+        """
+        gap = now - self.polled_at
+        self.polled_at = now
+        if version != self.version or gap > POLL_GAP_SECONDS:
+            self.version = version
+            self.unchanged_since = now
+        return now - self.unchanged_since >= LEASE_SECONDS
+
+
+async def wait_for_lease(
+    store: RowStore,
+    identity: EntryIdentity,
+    rng: random.Random,
+    head_start_seconds: float,
+) -> SchedulerLease:
+    """Return the lease once this entry has acquired it.
+
+    ``head_start_seconds`` is waited before a vacant lease is taken, so that the VMs
+    with the most processors come first.
+    """
+    loop = asyncio.get_running_loop()
+    observation = LeaseObservation()
+    while True:
+        try:
+            stored, _ = await read_row(store, LEASE_KEY, POLL_TIMEOUT_SECONDS)
+        except StoreError as error:
+            log.debug("lease cannot be read", extra={"reason": str(error)})
+            await asyncio.sleep(POLL_SECONDS * rng.uniform(0.5, 1.0))
+            continue
+        current = decode_lease(stored.value) if stored and stored.value else None
+        version = stored.version if stored else 0
+        if current is not None and current.holder == identity:
+            return SchedulerLease(
+                store, identity, current.epoch, version, loop.time(), current.sequence
+            )
+        lapsed = observation.has_lapsed(version, loop.time())
+        if _may_acquire(current, identity, lapsed):
+            if current is None or current.holder is None:
+                await asyncio.sleep(head_start_seconds)
+            lease = await try_to_acquire(store, identity, current, version)
+            if lease is not None:
+                log.info(
+                    "lease acquired",
+                    extra={"epoch": lease.epoch, "previous": repr(current)},
+                )
+                return lease
+        await asyncio.sleep(POLL_SECONDS * rng.uniform(0.8, 1.0))
+
+
+def _may_acquire(
+    current: LeaseRow | None, identity: EntryIdentity, lapsed: bool
+) -> bool:
+    if current is None or current.holder is None or lapsed:
+        return True
+    # The holder was an earlier life of this process, which is gone.
+    return current.holder.vm == identity.vm
--- a/savorydale/peers/membership.py
+++ b/savorydale/peers/membership.py
@@ -12,8 +12,8 @@
     TransactionConflictError,
 )
 from savorydale.peers.records import ENTRY_PREFIX, EntryRecord
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Row, Write
-from savorydale.platform.table import Table
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Row, Write
+from savorydale.storage.table import Table
 
 CLOCK_DRIFT_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 1.0
--- a/savorydale/peers/ownership.py
+++ b/savorydale/peers/ownership.py
@@ -15,8 +15,8 @@
     Holding,
     OwnershipMap,
 )
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Write
-from savorydale.platform.table import Table
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Write
+from savorydale.storage.table import Table
 
 SETTLEMENTS_PER_LEASE = 3
 RETRY_SECONDS = 0.05
--- a/savorydale/platform/__init__.py
+++ b/savorydale/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's table service, object store and VM status."""
+"""Adapter to the users' platform: its store, workers, callers and VM list."""
--- /dev/null
+++ b/savorydale/platform/http.py
@@ -0,0 +1,101 @@
+"""The one HTTP client for all that the platform offers."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import aiohttp
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+CONNECTIONS_PER_HOST = 8
+IDLE_CONNECTION_SECONDS = 30.0
+
+JsonObject = dict[str, Any]
+
+
+class HttpReply(NamedTuple):
+    """A whole answer; ``body`` is ``None`` if it is not a JSON object."""
+
+    status: int
+    body: JsonObject | None
+
+
+class NotSentError(Exception):
+    """No connection could be made, so nothing was sent."""
+
+
+class NoReplyError(Exception):
+    """The request may have arrived, but no whole answer did."""
+
+
+class HttpClient:
+    """Sends JSON requests over kept connections, with a time limit on each."""
+
+    def __init__(self, session: aiohttp.ClientSession):
+        self._session = session
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        timeout_seconds: float,
+        body: JsonObject | None = None,
+        headers: Mapping[str, str] | None = None,
+        params: Mapping[str, str] | None = None,
+    ) -> HttpReply:
+        """Send one request and return the answer.
+
+        Raises
+        ------
+        NotSentError
+            If no connection could be made.
+        NoReplyError
+            If no whole answer arrived in time.
+        """
+        data = None if body is None else json.dumps(body, separators=(",", ":"))
+        all_headers = {"Content-Type": "application/json", **(headers or {})}
+        try:
+            async with (
+                asyncio.timeout(timeout_seconds),
+                self._session.request(
+                    method, url, data=data, headers=all_headers, params=params
+                ) as response,
+            ):
+                raw = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise NotSentError(str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise NotSentError("connecting timed out") from error
+        except aiohttp.InvalidURL as error:
+            raise NotSentError("the address is not valid") from error
+        except TimeoutError as error:
+            raise NoReplyError(f"no answer within {timeout_seconds:.2f} s") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise NoReplyError(repr(error)) from error
+        return HttpReply(response.status, _parse(raw))
+
+
+def _parse(raw: bytes) -> JsonObject | None:
+    try:
+        body = json.loads(raw)
+    except ValueError:
+        return None
+    return body if isinstance(body, dict) else None
+
+
+@asynccontextmanager
+async def open_http_client() -> AsyncIterator[HttpClient]:
+    """Open the client and close its connections at the end."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=CONNECTIONS_PER_HOST,
+        keepalive_timeout=IDLE_CONNECTION_SECONDS,
+        use_dns_cache=False,
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout, auto_decompress=False
+    ) as session:
+        yield HttpClient(session)
--- /dev/null
+++ b/savorydale/platform/store.py
@@ -0,0 +1,145 @@
+"""The platform's store of rows, spoken to over HTTP."""
+
+import base64
+from typing import Any
+
+from savorydale.exceptions import HistoryLostError, StoreUnreachableError
+from savorydale.platform.http import HttpClient, HttpReply, NoReplyError, NotSentError
+from savorydale.storage.rows import (
+    Committed,
+    Conflict,
+    NotDone,
+    OutcomeUnknown,
+    RowCondition,
+    RowKey,
+    RowRange,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+    TransactionOutcome,
+)
+
+# All of the product's rows lie in one part, so that any of them can share a
+# transaction; the operator's and the workers' tables use the same one.
+PART = ""
+SILENCE_MARGIN_SECONDS = 0.4
+MILLISECONDS = 1000
+
+JsonObject = dict[str, Any]
+
+
+class PlatformStore:
+    """Reads and writes rows; one instance serves the whole process."""
+
+    def __init__(self, http: HttpClient, address: str):
+        self._http = http
+        self._base = f"http://{address}/-/"
+
+    async def transact(
+        self, transaction: RowTransaction, timeout_seconds: float
+    ) -> TransactionOutcome:
+        """Apply a transaction; see `RowStore`."""
+        body = {
+            "precondition": [_condition(item) for item in transaction.conditions],
+            "setKeys": [
+                _write(item) for item in transaction.writes if item.value is not None
+            ],
+            "remove": [
+                _name(item.name) for item in transaction.writes if item.value is None
+            ],
+        }
+        try:
+            reply = await self._http.send(
+                "POST", self._base + "rows-tx", timeout_seconds, body
+            )
+        except NotSentError as error:
+            return NotDone(str(error))
+        except NoReplyError as error:
+            return OutcomeUnknown(str(error))
+        match reply:
+            case HttpReply(200, {"ver": int(version)}):
+                return Committed(version)
+            case HttpReply(412, {"rows": list(rows)}):
+                stored = [_parse_row(row) for row in rows]
+                return Conflict({row.name: row for row in stored})
+            case HttpReply(status=status) if 400 <= status < 500 or status == 503:
+                return NotDone(f"status {status}: {reply.body}"[:200])
+        return OutcomeUnknown(f"status {reply.status}")
+
+    async def read_range(
+        self, table: str, start: str = "", end: str = "", *, timeout_seconds: float
+    ) -> RowRange:
+        """Return the rows of a range; see `RowStore`."""
+        params = {"table": table, "part": PART}
+        if end:
+            params["to"] = end
+        rows: list[StoredRow] = []
+        while True:
+            if start:
+                params["from"] = start
+            body = await self._read("rows-get", params, timeout_seconds)
+            page = _parse_rows(body)
+            rows += page
+            if not body.get("hasMore") or not page:
+                return _make_range(rows, body)
+            start = page[-1].name.key + "\x01"
+
+    async def read_changes(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> RowRange:
+        """Return the changes since a version; see `RowStore`."""
+        params = {
+            "table": table,
+            "after": str(after_version),
+            "waitMs": str(int(wait_seconds * MILLISECONDS)),
+        }
+        timeout = wait_seconds + SILENCE_MARGIN_SECONDS
+        body = await self._read("rows-feed", params, timeout)
+        return _make_range(_parse_rows(body), body)
+
+    async def _read(
+        self, call: str, params: dict[str, str], timeout_seconds: float
+    ) -> JsonObject:
+        if timeout_seconds <= 0:
+            raise StoreUnreachableError("out of time")
+        try:
+            reply = await self._http.send(
+                "GET", self._base + call, timeout_seconds, params=params
+            )
+        except (NotSentError, NoReplyError) as error:
+            raise StoreUnreachableError(str(error)) from error
+        if reply.status == 410:
+            raise HistoryLostError("the store has dropped its history")
+        if reply.status != 200 or reply.body is None:
+            raise StoreUnreachableError(f"the store answers with {reply.status}")
+        return reply.body
+
+
+def _name(name: RowKey) -> JsonObject:
+    return {"table": name.table, "part": PART, "key": name.key}
+
+
+def _condition(condition: RowCondition) -> JsonObject:
+    return {**_name(condition.name), "ver": condition.version}
+
+
+def _write(write: RowWrite) -> JsonObject:
+    value = base64.b64encode(write.value or b"").decode()
+    return {**_name(write.name), "value": value}
+
+
+def _parse_row(row: JsonObject) -> StoredRow:
+    is_deleted = bool(row.get("deleted"))
+    value = None if is_deleted else base64.b64decode(row.get("value") or "")
+    return StoredRow(RowKey(row["table"], row["key"]), value, row.get("ver", 0))
+
+
+def _parse_rows(body: JsonObject) -> list[StoredRow]:
+    try:
+        return [_parse_row(row) for row in body["rows"]]
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnreachableError(f"the answer cannot be read: {error!r}") from error
+
+
+def _make_range(rows: list[StoredRow], body: JsonObject) -> RowRange:
+    return RowRange(tuple(rows), int(body.get("ver", 0)), int(body.get("nowMs", 0)))
--- /dev/null
+++ b/savorydale/platform/workers.py
@@ -0,0 +1,168 @@
+"""Orders to the platform's workers over HTTP."""
+
+from typing import Any
+
+from savorydale.counters import Counters
+from savorydale.exceptions import RowFormatError
+from savorydale.jobs.model import TaskId
+from savorydale.orders.interface import (
+    Accepted,
+    ActiveRun,
+    EndedRun,
+    EndReason,
+    Held,
+    HoldOrder,
+    HoldOutcome,
+    OrderOutcome,
+    RefusalReason,
+    Refused,
+    StartOrder,
+    Unanswered,
+    WorkerTarget,
+)
+from savorydale.platform.http import HttpClient, HttpReply, NoReplyError, NotSentError
+
+ORDER_TIMEOUT_SECONDS = 1.0
+INCARNATION_HEADER = "Savorydale-Target-Instance"
+MILLISECONDS = 1000
+
+JsonObject = dict[str, Any]
+
+END_REASON_BY_WORD = {
+    "done": EndReason.DONE,
+    "failed": EndReason.FAILED,
+    "stopped": EndReason.STOPPED,
+    "lapsed": EndReason.LEASE_LAPSED,
+    "broken": EndReason.GANG_BROKEN,
+    "alone": EndReason.GANG_INCOMPLETE,
+}
+REFUSAL_BY_WORD = {
+    "fence": RefusalReason.FENCED,
+    "old": RefusalReason.RUN_NOT_NEWER,
+    "late": RefusalReason.LEASE_ALREADY_OVER,
+    "room": RefusalReason.NO_ROOM,
+    "ticket": RefusalReason.TICKET_INVALID,
+}
+REFUSAL_BY_STATUS = {
+    400: RefusalReason.NOT_UNDERSTOOD,
+    404: RefusalReason.NOT_UNDERSTOOD,
+    421: RefusalReason.OTHER_INCARNATION,
+    429: RefusalReason.UNHEALTHY,
+    503: RefusalReason.UNHEALTHY,
+}
+
+
+class PlatformWorkers:
+    """Sends orders to workers; see `WorkerOrders`."""
+
+    def __init__(self, http: HttpClient, counters: Counters):
+        self._http = http
+        self._counters = counters
+
+    async def hold(self, target: WorkerTarget, order: HoldOrder) -> HoldOutcome:
+        """Renew the lease on a worker and list its runs."""
+        body: JsonObject = {"ackCursor": order.acknowledged, "waitMs": order.wait_ms}
+        if order.lease_end_ms is not None:
+            body["deadlineMs"] = order.lease_end_ms
+        timeout = ORDER_TIMEOUT_SECONDS + order.wait_ms / MILLISECONDS
+        outcome = await self._send(target, "hold", body, timeout)
+        if not isinstance(outcome, HttpReply):
+            return outcome
+        try:
+            return _parse_held(outcome.body or {})
+        except (KeyError, TypeError, ValueError, RowFormatError) as error:
+            self._counters.increment("worker.unreadable")
+            return Unanswered(f"the list cannot be read: {error!r}")
+
+    async def start(self, target: WorkerTarget, order: StartOrder) -> OrderOutcome:
+        """Start a run."""
+        body: JsonObject = {
+            "task": str(order.task),
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": order.lease_end_ms,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(target, "run-start", body)
+
+    async def stop(self, target: WorkerTarget, task: TaskId, run: int) -> OrderOutcome:
+        """Stop a run."""
+        return await self._order(target, "run-stop", {"task": str(task), "run": run})
+
+    async def throttle(
+        self, target: WorkerTarget, task: TaskId, run: int, percent: int
+    ) -> OrderOutcome:
+        """Let a run work at a share of its speed."""
+        body = {"task": str(task), "run": run, "percent": percent}
+        return await self._order(target, "pace", body)
+
+    async def _order(
+        self, target: WorkerTarget, call: str, body: JsonObject
+    ) -> OrderOutcome:
+        outcome = await self._send(target, call, body, ORDER_TIMEOUT_SECONDS)
+        if isinstance(outcome, HttpReply):
+            return Accepted(int((outcome.body or {}).get("clockMs", 0)))
+        return outcome
+
+    async def _send(
+        self, target: WorkerTarget, call: str, body: JsonObject, timeout_seconds: float
+    ) -> HttpReply | Refused | Unanswered:
+        """Return a 200, or what any other outcome means."""
+        if not target.address:
+            return Refused(RefusalReason.UNREACHABLE, "the address is not known")
+        try:
+            reply = await self._http.send(
+                "POST",
+                f"http://{target.address}/-/{call}",
+                timeout_seconds,
+                {**body, "fenceToken": target.fencing_token},
+                {INCARNATION_HEADER: target.worker},
+            )
+        except NotSentError as error:
+            return Refused(RefusalReason.UNREACHABLE, str(error))
+        except NoReplyError as error:
+            return Unanswered(str(error))
+        if reply.status == 200:
+            return reply
+        if reply.status == 409:
+            word = (reply.body or {}).get("reason")
+            return Refused(REFUSAL_BY_WORD.get(word, RefusalReason.NOT_UNDERSTOOD))
+        reason = REFUSAL_BY_STATUS.get(reply.status)
+        if reason is not None:
+            return Refused(reason, f"status {reply.status}")
+        return Unanswered(f"status {reply.status}")
+
+
+def _parse_held(body: JsonObject) -> Held:
+    return Held(
+        int(body["clockMs"]),
+        int(body.get("born") or 0),
+        tuple(_parse_active(entry) for entry in body["running"]),
+        tuple(_parse_ended(entry) for entry in body["ended"]),
+    )
+
+
+def _parse_active(entry: list[Any]) -> ActiveRun:
+    # The fourth entry is the pace; the fifth is missing where nothing is shared.
+    task, run, checkpoint, percent, *usage = entry
+    return ActiveRun(
+        TaskId.parse(task),
+        int(run),
+        str(checkpoint or ""),
+        float(percent or 0),
+        float(usage[0] or 0) if usage else 0.0,
+    )
+
+
+def _parse_ended(entry: list[Any]) -> EndedRun:
+    number, task, run, word, checkpoint = entry
+    return EndedRun(
+        int(number),
+        TaskId.parse(task),
+        int(run),
+        END_REASON_BY_WORD[word],
+        str(checkpoint or ""),
+    )
--- /dev/null
+++ b/savorydale/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""In which order tasks that are ready are placed."""
--- a/savorydale/routing/idempotency.py
+++ b/savorydale/routing/idempotency.py
@@ -7,11 +7,11 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import StoreError, TransactionConflictError
-from savorydale.platform.group_commit import GroupCommit
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Row, Write
-from savorydale.platform.table import Table
 from savorydale.results import ResultCode
 from savorydale.routing.calls import Answered, Call, NotRun, Outcome, OutcomeUnknown
+from savorydale.storage.group_commit import GroupCommit
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Row, Write
+from savorydale.storage.table import Table
 
 KEY_PREFIX = "keys/"
 KEY_TTL_SECONDS = 86_400.0
--- a/savorydale/scheduling/mail_reader.py
+++ b/savorydale/scheduling/mail_reader.py
@@ -5,9 +5,9 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import StoreError
-from savorydale.platform.interface import Row
-from savorydale.platform.table import Table
 from savorydale.scheduling.tasks import MAIL_PREFIX
+from savorydale.storage.interface import Row
+from savorydale.storage.table import Table
 
 POLL_SECONDS = 2.0
 COALESCE_SECONDS = 0.03
--- a/savorydale/scheduling/owned_row.py
+++ b/savorydale/scheduling/owned_row.py
@@ -7,10 +7,10 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import StoreError, TransactionConflictError
-from savorydale.platform.group_commit import GroupCommit
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Row, Write
-from savorydale.platform.table import Table
 from savorydale.scheduling.tasks import Mail, mail_from_json, mail_key
+from savorydale.storage.group_commit import GroupCommit
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Row, Write
+from savorydale.storage.table import Table
 
 JsonObject = dict[str, Any]
 
--- a/savorydale/scheduling/placement.py
+++ b/savorydale/scheduling/placement.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from savorydale.invariants import check
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.tasks import Task
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import Demand
 
 NO_DEMAND = Demand(0.0, 0.0, 0)
--- a/savorydale/scheduling/placement_round.py
+++ b/savorydale/scheduling/placement_round.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.placement import (
     EMPTY_LOAD,
     Outlook,
@@ -14,6 +13,7 @@
 from savorydale.scheduling.preemption import Preemption, plan_preemption
 from savorydale.scheduling.rack_colocation import RackColocation
 from savorydale.scheduling.tasks import Task, group_by_worker
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import TaskReport
 
 
--- a/savorydale/scheduling/preemption.py
+++ b/savorydale/scheduling/preemption.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.placement import (
     EMPTY_LOAD,
     WorkerLoad,
@@ -12,6 +11,7 @@
     free_of,
 )
 from savorydale.scheduling.tasks import Task
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import Demand
 
 
--- a/savorydale/scheduling/rack_colocation.py
+++ b/savorydale/scheduling/rack_colocation.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.colocation import (
     LOWEST_PACE,
     Action,
@@ -19,6 +18,7 @@
 from savorydale.scheduling.placement import Outlook
 from savorydale.scheduling.tasks import Task
 from savorydale.scheduling.usage import UsageEstimates
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import TaskReport
 
 FORGOTTEN_SECONDS = 600.0
--- a/savorydale/scheduling/rack_summary.py
+++ b/savorydale/scheduling/rack_summary.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from typing import TypedDict
 
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.placement import EMPTY_LOAD, free_of, loads_of
 from savorydale.scheduling.preemption import free_for_urgent
 from savorydale.scheduling.tasks import Task, group_by_worker
+from savorydale.storage.interface import VmStatus
 
 
 class RackSummaryBody(TypedDict):
--- a/savorydale/scheduling/rack_tasks.py
+++ b/savorydale/scheduling/rack_tasks.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.owned_row import OwnedRow
 from savorydale.scheduling.placement_round import PlacementRound
 from savorydale.scheduling.preemption import Preemption
@@ -20,6 +19,7 @@
     Task,
     group_by_worker,
 )
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.directory import Directory
 from savorydale.workers.interface import TaskReport
 
--- a/savorydale/scheduling/racks.py
+++ b/savorydale/scheduling/racks.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from savorydale.counters import Counters
-from savorydale.platform.interface import Row, VmStatus
 from savorydale.scheduling.owned_row import CommitResult, OwnedRow
 from savorydale.scheduling.placement import check_not_overcommitted, loads_of
 from savorydale.scheduling.placement_round import (
@@ -20,6 +19,7 @@
 from savorydale.scheduling.rack_tasks import PendingUrgent, RackTasks
 from savorydale.scheduling.tasks import Task, task_from_json
 from savorydale.scheduling.worker_watch import WorkerWatch
+from savorydale.storage.interface import Row, VmStatus
 from savorydale.workers.directory import Directory
 from savorydale.workers.interface import WorkerClient
 
--- a/savorydale/scheduling/scheduler.py
+++ b/savorydale/scheduling/scheduler.py
@@ -14,8 +14,6 @@
     Wake,
 )
 from savorydale.peers.ownership import Ownership, UnitChange
-from savorydale.platform.group_commit import GroupCommit
-from savorydale.platform.table import Table
 from savorydale.routing.inflation import WorkerService
 from savorydale.scheduling.mail_reader import MailReader
 from savorydale.scheduling.owned_row import OwnedRow, OwnedUnit
@@ -26,6 +24,8 @@
 from savorydale.scheduling.shards import ShardScheduler
 from savorydale.scheduling.tasks import RACK_KIND, SHARD_KIND
 from savorydale.settings.tree import SettingsTree
+from savorydale.storage.group_commit import GroupCommit
+from savorydale.storage.table import Table
 from savorydale.utils.wall_clock import WallClock
 from savorydale.workers.directory import Directory, RackServices
 from savorydale.workers.interface import Demand, WorkerClient
--- a/savorydale/scheduling/shards.py
+++ b/savorydale/scheduling/shards.py
@@ -7,7 +7,6 @@
 from typing import Any, NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.platform.interface import Row, Write
 from savorydale.scheduling.backoff import backoff_seconds
 from savorydale.scheduling.owned_row import CommitResult, OwnedRow
 from savorydale.scheduling.rack_choice import RackChoice
@@ -24,6 +23,7 @@
 from savorydale.scheduling.team_usage import TeamUsage
 from savorydale.settings.checks import QUOTA
 from savorydale.settings.tree import EMPTY_TREE, SettingsTree, Work
+from savorydale.storage.interface import Row, Write
 from savorydale.utils.wall_clock import WallClock
 from savorydale.workers.interface import Demand
 
--- a/savorydale/scheduling/worker_watch.py
+++ b/savorydale/scheduling/worker_watch.py
@@ -5,12 +5,12 @@
 from collections.abc import Awaitable, Callable
 
 from savorydale.exceptions import WorkerError, WorkerRefusedError
-from savorydale.platform.interface import VmStatus
 from savorydale.scheduling.colocation import Evict, Throttle
 from savorydale.scheduling.leases import WorkerLease
 from savorydale.scheduling.rack_colocation import start_pace
 from savorydale.scheduling.rack_tasks import RackTasks
 from savorydale.scheduling.tasks import Task
+from savorydale.storage.interface import VmStatus
 from savorydale.workers.interface import (
     StartTask,
     StopTask,
--- a/savorydale/settings/follower.py
+++ b/savorydale/settings/follower.py
@@ -15,12 +15,12 @@
 )
 from savorydale.invariants import check
 from savorydale.messages.settings_types import SettingsNode
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Write
-from savorydale.platform.table import Table
 from savorydale.results import ResultCode
 from savorydale.settings.checks import check_changes
 from savorydale.settings.history import change_key, make_change_row
 from savorydale.settings.tree import EMPTY_TREE, SettingsTree
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Write
+from savorydale.storage.table import Table
 from savorydale.utils.wall_clock import WallClock
 
 HEAD_KEY = "settings/head"
--- a/savorydale/settings/history.py
+++ b/savorydale/settings/history.py
@@ -4,10 +4,10 @@
 
 from savorydale.exceptions import ResultError
 from savorydale.messages.settings_types import SettingsNode
-from savorydale.platform.interface import Row
-from savorydale.platform.table import Table
 from savorydale.results import ResultCode
 from savorydale.settings.tree import SettingsTree
+from savorydale.storage.interface import Row
+from savorydale.storage.table import Table
 
 CHANGE_PREFIX = "settings/changes/"
 MOST_VERSIONS = 1000
--- a/savorydale/platform/client.py
+++ b/savorydale/storage/client.py
@@ -13,7 +13,7 @@
     StoreUnreachableError,
     TransactionConflictError,
 )
-from savorydale.platform.interface import (
+from savorydale.storage.interface import (
     JsonObject,
     Row,
     Transaction,
--- a/savorydale/platform/group_commit.py
+++ b/savorydale/storage/group_commit.py
@@ -7,8 +7,8 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import SavorydaleError, TransactionConflictError
-from savorydale.platform.interface import Condition, Write
-from savorydale.platform.table import Table
+from savorydale.storage.interface import Condition, Write
+from savorydale.storage.table import Table
 
 LARGEST_GROUP = 200
 
--- a/savorydale/platform/table.py
+++ b/savorydale/storage/table.py
@@ -10,7 +10,7 @@
     StoreUnreachableError,
     TransactionConflictError,
 )
-from savorydale.platform.interface import (
+from savorydale.storage.interface import (
     ABSENT_VERSION,
     Condition,
     Platform,
--- a/savorydale/tests/fakes.py
+++ b/savorydale/tests/fakes.py
@@ -12,9 +12,9 @@
     WorkerRefusedError,
     WorkerUnreachableError,
 )
-from savorydale.platform.interface import Row, Transaction, VmStatus
 from savorydale.results import ResultCode
 from savorydale.routing.calls import Answered, Grant, NotRun, Outcome, OutcomeUnknown
+from savorydale.storage.interface import Row, Transaction, VmStatus
 from savorydale.workers.interface import TaskReport, WorkerReport
 from standins.table import ConflictError, MemoryTable
 from standins.tasks import StaleCommandError, TaskTable
--- a/savorydale/tests/peers/ownership_tests.py
+++ b/savorydale/tests/peers/ownership_tests.py
@@ -4,8 +4,8 @@
 from savorydale.peers.membership import EntryLease, Sighting
 from savorydale.peers.ownership import Ownership
 from savorydale.peers.records import EntryRecord, Holding, OwnershipMap
-from savorydale.platform.interface import Write
-from savorydale.platform.table import Table
+from savorydale.storage.interface import Write
+from savorydale.storage.table import Table
 from savorydale.tests.fakes import FakePlatform
 from savorydale.tests.harness import on_virtual_time
 
--- a/savorydale/tests/scheduling/scheduler_tests.py
+++ b/savorydale/tests/scheduling/scheduler_tests.py
@@ -1,10 +1,10 @@
 import asyncio
 
 from savorydale.exceptions import StoreOutcomeUnknownError, StoreUnreachableError
-from savorydale.platform.interface import Condition, Write
 from savorydale.scheduling.owned_row import CommitResult
 from savorydale.scheduling.shards import make_task
 from savorydale.scheduling.tasks import Mail, mail_key, shard_of
+from savorydale.storage.interface import Condition, Write
 from savorydale.tests.harness import on_virtual_time, open_cluster, tree, wait_until
 
 
--- a/savorydale/tests/soak.py
+++ b/savorydale/tests/soak.py
@@ -14,12 +14,12 @@
 from typing import NamedTuple
 
 from savorydale.exceptions import ConfigurationError, ResultError
-from savorydale.platform.interface import Condition, Write
 from savorydale.results import ResultCode
 from savorydale.routing.calls import Answered, NotRun
 from savorydale.scheduling.backoff import LONGEST_SECONDS
 from savorydale.scheduling.shards import make_task
 from savorydale.scheduling.tasks import Mail, mail_key, shard_of
+from savorydale.storage.interface import Condition, Write
 from savorydale.tests.harness import Cluster, on_virtual_time, open_cluster, tree
 from savorydale.tests.soak_faults import Faults
 
--- a/savorydale/tests/platform/table_tests.py
+++ b/savorydale/tests/storage/table_tests.py
@@ -9,9 +9,9 @@
     StoreUnreachableError,
     TransactionConflictError,
 )
-from savorydale.platform.group_commit import open_group_commit
-from savorydale.platform.interface import Condition, Write
-from savorydale.platform.table import Table
+from savorydale.storage.group_commit import open_group_commit
+from savorydale.storage.interface import Condition, Write
+from savorydale.storage.table import Table
 from savorydale.tests.fakes import FakePlatform
 from savorydale.tests.harness import on_virtual_time
 
--- a/savorydale/web/operators.py
+++ b/savorydale/web/operators.py
@@ -18,7 +18,6 @@
     StoreError,
     TransactionConflictError,
 )
-from savorydale.platform.interface import ABSENT_VERSION, Condition, Row, Write
 from savorydale.results import INFO_BY_CODE, RESULT_HEADER, ResultCode
 from savorydale.scheduling.shards import make_task
 from savorydale.scheduling.tasks import (
@@ -35,6 +34,7 @@
     changes_back_to,
     read_history,
 )
+from savorydale.storage.interface import ABSENT_VERSION, Condition, Row, Write
 from savorydale.web.access import KEY_HEADER, Access
 from savorydale.web.bridge import LoopBridge
 
--- /dev/null
+++ b/savorydale/web/vm_pages.py
@@ -0,0 +1,38 @@
+"""Pages for the balancer and for operators: readiness and metrics."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from savorydale.counters import Counters
+
+READINESS_PATH = "/-/readiness"
+
+
+def make_health_page(is_ready: Callable[[], bool]) -> web.Application:
+    """Return the application that tells the balancer whether to send callers."""
+
+    async def answer(request: web.Request) -> web.Response:
+        ready = is_ready()
+        return web.Response(
+            status=200 if ready else 503, text="ready" if ready else "not ready"
+        )
+
+    application = web.Application()
+    application.router.add_get(READINESS_PATH, answer)
+    return application
+
+
+def make_metrics_page(counters: Counters) -> web.Application:
+    """Return the application that lists all counters and latencies as text."""
+
+    async def answer(request: web.Request) -> web.Response:
+        snapshot = counters.snapshot()
+        lines = [f"{name} {value}" for name, value in snapshot.count_by_name.items()]
+        for name, summary in snapshot.latency_by_name.items():
+            lines += [f"{name}.{key} {value}" for key, value in summary.items()]
+        return web.Response(text="\n".join(lines) + "\n")
+
+    application = web.Application()
+    application.router.add_get("/metrics", answer)
+    return application
--- a/savorydale/workers/directory.py
+++ b/savorydale/workers/directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from savorydale.platform.interface import VmStatus
+from savorydale.storage.interface import VmStatus
 
 
 class Worker(NamedTuple):
--- a/scripts/generate_schemas.py
+++ b/scripts/generate_schemas.py
@@ -5,7 +5,7 @@
 import pprint
 import sys
 
-NAMES = ("entry", "settings")
+NAMES = ("entry", "settings", "vm")
 
 
 def main(output: str) -> None:
