Learn which backfill image slows which service, and pace by it

Change: a non-negative least squares fit per pair, speeds by image and worker, services of one image kept together, backfill placed where it can work.

--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -37,8 +37,8 @@
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.ownership.election import RENEWAL_SECONDS
 from savorydale.ownership.lease import SchedulerLease
-from savorydale.placement.choice import Candidate, choose_worker
-from savorydale.placement.pacing import BackfillPace
+from savorydale.placement.choice import Candidate, PlacementContext, choose_worker
+from savorydale.placement.colocation import Colocation
 from savorydale.queueing.order import rank_step
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore, RowWrite, StoredRow
@@ -94,7 +94,7 @@
         self._timing = timing
         self._counters = counters
         self._read_configuration = read_configuration
-        self._pace_by_worker: dict[str, BackfillPace] = {}
+        self._colocation = Colocation()
         self._suspicion_by_worker: dict[str, tuple[float, float]] = {}
         self._starts: list[PendingStart] = []
         self._extra_writes: dict[str, RowWrite] = {}
@@ -237,7 +237,6 @@
             self._counters,
         )
         self.link_by_worker[info.worker] = link
-        self._pace_by_worker[info.worker] = BackfillPace()
         if self._group is not None:
             self._group.create_task(link.run())
         return link
@@ -299,17 +298,8 @@
 
     def on_report(self, link: WorkerLink) -> None:
         """Adapt the speed of backfill to the services' tail latency."""
-        pace = self._pace_by_worker[link.worker]
-        runs = link.run_by_task.values()
-        pressures = [
-            run.usage / run.spec.latency_target_ms
-            for run in runs
-            if run.spec.latency_target_ms and run.spec.long_running
-        ]
-        percent = pace.update(max(pressures, default=0.0))
-        for run in runs:
-            if run.spec.backfill and run.wanted_percent != percent:
-                link.throttle(run, percent)
+        for run, percent in self._colocation.on_report(link):
+            link.throttle(run, percent)
 
     def _suspect(self, worker: str, now: float) -> None:
         level = self._suspicion(worker, now) + SUSPICION_PER_FAILURE
@@ -437,14 +427,11 @@
                 continue
             if not link.is_in_contact(now) or now < link.refused_until:
                 continue
-            pace = self._pace_by_worker[link.worker]
             candidates.append(
                 Candidate(
                     link.worker,
                     info.labels,
                     link.load,
-                    pace.pressure,
-                    pace.percent,
                     self._suspicion(link.worker, now),
                 )
             )
@@ -457,18 +444,25 @@
         candidates: list[Candidate],
         now: float,
     ) -> None:
-        counts = step.count_by_worker()
+        context = PlacementContext(
+            step.count_by_worker(),
+            self._speeds(step, candidates),
+            now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
+        )
         if step.spec.gang and len(tasks) < step.open_count:
             return  # members of the last run are still ending
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
-            candidate = choose_worker(step, task, candidates, counts)
+            candidate = choose_worker(step, task, candidates, context)
             if candidate is None:
                 break
             link = self.link_by_worker[candidate.worker]
-            counts[candidate.worker] = counts.get(candidate.worker, 0) + 1
             run = Run(task.id, task.run + 1, step.spec, now)
             link.reserve(run)
+            context.count_by_worker[link.worker] += 1
+            if step.spec.backfill:
+                speed = self._colocation.speed_of(link, step.spec)
+                context.speed_by_worker[link.worker] = speed
             chosen.append((task, run, link))
         if step.spec.gang and len(chosen) < len(tasks):
             for _, run, link in chosen:
@@ -479,6 +473,19 @@
         for task, run, link in chosen:
             self._assign(step, task, run, link)
 
+    def _speeds(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> dict[str, float]:
+        """Return how fast the step's backfill may work on each worker."""
+        if not step.spec.backfill:
+            return {}
+        return {
+            candidate.worker: self._colocation.speed_of(
+                self.link_by_worker[candidate.worker], step.spec
+            )
+            for candidate in candidates
+        }
+
     def _align_gang(self, chosen: list[tuple[Task, Run, WorkerLink]]) -> None:
         """Give all members the same run number and checkpoint."""
         newest = max((task for task, _, _ in chosen), key=lambda task: task.run)
@@ -516,6 +523,7 @@
                 summary_at = loop.time()
                 self._summarize()
                 self._remove_old_states()
+                self._colocation.model.fit()
             self.wake()  # room, time and contact may have changed
 
     def _summarize(self) -> None:
--- a/savorydale/jobs/ledger.py
+++ b/savorydale/jobs/ledger.py
@@ -4,6 +4,7 @@
 and how runs end, and says which rows must be written before anyone may act on it.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterator
 from enum import StrEnum
@@ -91,13 +92,9 @@
         """Return the tasks that need a worker."""
         return [task for task in self.tasks if task.is_waiting]
 
-    def count_by_worker(self) -> dict[str, int]:
+    def count_by_worker(self) -> collections.Counter[str]:
         """Return how many tasks each worker holds."""
-        counts: dict[str, int] = {}
-        for task in self.tasks:
-            if task.worker:
-                counts[task.worker] = counts.get(task.worker, 0) + 1
-        return counts
+        return collections.Counter(task.worker for task in self.tasks if task.worker)
 
     def mark_done(self, task: Task) -> None:
         """Note that ``task`` has succeeded."""
--- a/savorydale/orders/interface.py
+++ b/savorydale/orders/interface.py
@@ -65,15 +65,15 @@
 class ActiveRun(NamedTuple):
     """A run that a worker holds.
 
-    ``percent`` is the share of its normal speed at which the run works. ``usage`` is
-    the tail latency in milliseconds for a service task, and the millicores in use for
-    any other task; both are rough and cover the last half second.
+    ``progress_percent`` is how much of its work is done; a service task is at work at
+    100. ``usage`` is the tail latency in milliseconds for a service task, and the
+    millicores in use for any other task; both are rough and cover the last half second.
     """
 
     task: TaskId
     run: int
     checkpoint: str
-    percent: float
+    progress_percent: float
     usage: float
 
 
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -1,5 +1,6 @@
 """Runs that one worker holds, or may hold, as the scheduling entry knows them."""
 
+import collections
 import dataclasses
 from enum import Enum
 
@@ -7,6 +8,7 @@
 from savorydale.orders.interface import Resources
 
 FULL_SPEED_PERCENT = 100
+UNKNOWN_PERCENT = -1  # the speed must be ordered again
 
 
 class RunState(Enum):
@@ -35,8 +37,8 @@
     confirmed_at: float = 0.0
     stop_wanted: bool = False
     stop_sent_at: float = 0.0
-    percent: float = FULL_SPEED_PERCENT
-    wanted_percent: float = FULL_SPEED_PERCENT
+    progress_percent: float = 0.0
+    wanted_percent: int = FULL_SPEED_PERCENT
     usage: float = 0.0
 
 
@@ -54,6 +56,7 @@
         self.backfill_millicores = 0
         self.memory_mb = 0
         self.accelerators = 0
+        self.services_by_image: collections.Counter[str] = collections.Counter()
 
     def add(self, spec: StepSpec, sign: int = 1) -> None:
         """Count one task of a step; ``sign`` -1 removes it."""
@@ -63,6 +66,7 @@
             self.cpu_millicores += sign * spec.cpu_millicores
         if spec.long_running:
             self.service_millicores += sign * spec.cpu_millicores
+            self.services_by_image[spec.image] += sign
         self.memory_mb += sign * spec.memory_mb
         self.accelerators += sign * spec.accelerators
 
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -26,7 +26,7 @@
     WorkerOrders,
     WorkerTarget,
 )
-from savorydale.orders.runs import Run, RunState, WorkerLoad
+from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
 
 HOLD_WAIT_MS = 500
 HOLD_RETRY_SECONDS = 0.2
@@ -253,7 +253,7 @@
     ) -> None:
         if active is not None and active.run == run.number:
             self._confirm(run)
-            run.percent = active.percent
+            run.progress_percent = active.progress_percent
             run.usage = active.usage
             if run.stop_wanted:
                 self._send_stop(run)
@@ -355,10 +355,11 @@
             )
         match outcome:
             case Accepted():
-                run.percent = percent
+                self._counters.increment("throttle.accepted")
             case Refused(RefusalReason.FENCED):
                 self._check_fenced(token)
             case Refused() | Unanswered():
+                run.wanted_percent = UNKNOWN_PERCENT
                 self._counters.increment("throttle.failed")
                 log.info(
                     "throttle failed",
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -1,39 +1,54 @@
 """Choose the worker for one task.
 
-Answers two loads: tasks that reserve processors are spread to the worker with the most
-room; backfill goes where the processors that others leave unused are the most.
+Answers three loads: tasks that reserve processors are spread to the worker with the
+most room; services of one image are kept together, so that each image of backfill finds
+workers where it disturbs nobody; backfill goes where it can work fastest.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import StepProgress, Task
 from savorydale.jobs.model import StepSpec
 from savorydale.orders.runs import WorkerLoad
 
-SERVICE_USE_RATIO = 0.55  # share of its reservation that a service uses on average
-MIN_BACKFILL_SHARE = 0.6  # backfill starts where it gets this share of its demand
+SERVICE_USE_RATIO = 0.5  # share of its reservation that a service uses on average
+FIRST_MIN_SPEED = 0.6  # backfill waits for a worker where it reaches this speed,
+MIN_SPEED_DECAY_PER_SECOND = 0.15  # then takes less,
+LEAST_SPEED = 0.04  # down to this
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
 FAILED_THERE_PENALTY = 3.0
+SAME_IMAGE_BONUS = 1.0
+BACKFILL_ROOM_WEIGHT = 0.3
 
 
 class Candidate(NamedTuple):
     """One worker that may get tasks now.
 
-    ``pressure`` is the worst ratio of a service's tail latency to its target.
-    ``backfill_percent`` is the speed at which backfill works there. ``suspicion`` grows
-    with recent failures.
+    ``suspicion`` grows with recent failures.
     """
 
     worker: str
     labels: tuple[str, ...]
     load: WorkerLoad
-    pressure: float = 0.0
-    backfill_percent: float = 100.0
     suspicion: float = 0.0
 
 
+class PlacementContext(NamedTuple):
+    """What the choice depends on besides the step and the workers.
+
+    ``count_by_worker`` counts the step's tasks on each worker. ``speed_by_worker`` is
+    the speed at which services let the step's backfill work; empty for other steps.
+    ``waited_seconds`` is how long the task has waited.
+    """
+
+    count_by_worker: Counter[str]
+    speed_by_worker: dict[str, float]
+    waited_seconds: float
+
+
 def unused_millicores(load: WorkerLoad) -> float:
     """Return the processors that neither services nor other tasks use."""
     reserved_by_tasks = load.cpu_millicores - load.service_millicores
@@ -41,20 +56,26 @@
     return load.capacity.cpu_millicores - used - load.backfill_millicores
 
 
+def least_speed(waited_seconds: float) -> float:
+    """Return the speed below which backfill rather waits."""
+    speed = FIRST_MIN_SPEED - MIN_SPEED_DECAY_PER_SECOND * waited_seconds
+    return max(LEAST_SPEED, speed)
+
+
 def choose_worker(
     step: StepProgress,
     task: Task,
     candidates: Iterable[Candidate],
-    count_by_worker: Mapping[str, int],
+    context: PlacementContext,
 ) -> Candidate | None:
     """Return the best worker for a task, or ``None`` if none has room."""
     spec = step.spec
     best: Candidate | None = None
     best_score = 0.0
     for candidate in candidates:
-        if not _is_allowed(spec, candidate, count_by_worker):
+        if not _is_allowed(spec, candidate, context):
             continue
-        score = _score(spec, candidate)
+        score = _score(spec, candidate, context)
         if candidate.worker in task.excluded_workers:
             score -= FAILED_THERE_PENALTY
         if best is None or score > best_score:
@@ -63,34 +84,50 @@
 
 
 def _is_allowed(
-    spec: StepSpec,
-    candidate: Candidate,
-    count_by_worker: Mapping[str, int],
+    spec: StepSpec, candidate: Candidate, context: PlacementContext
 ) -> bool:
     if not candidate.load.fits(spec):
         return False
     if spec.required_label and spec.required_label not in candidate.labels:
         return False
-    held = count_by_worker.get(candidate.worker, 0)
+    held = context.count_by_worker.get(candidate.worker, 0)
     if spec.max_per_worker and held >= spec.max_per_worker:
         return False
-    return not spec.backfill or _has_unused(spec, candidate)
+    if not spec.backfill:
+        return True
+    speed = _backfill_speed(spec, candidate, context)
+    return speed >= least_speed(context.waited_seconds)
 
 
-def _has_unused(spec: StepSpec, candidate: Candidate) -> bool:
-    if candidate.pressure > 1.0:
-        return False
-    unused = unused_millicores(candidate.load)
-    return unused >= MIN_BACKFILL_SHARE * spec.cpu_millicores
+def _backfill_speed(
+    spec: StepSpec, candidate: Candidate, context: PlacementContext
+) -> float:
+    """Return the share of its demand that a backfill task would get."""
+    allowed = context.speed_by_worker.get(candidate.worker, 1.0)
+    room = unused_millicores(candidate.load) / max(1, spec.cpu_millicores)
+    return min(allowed, room, 1.0)
 
 
-def _score(spec: StepSpec, candidate: Candidate) -> float:
-    capacity = max(1, candidate.load.capacity.cpu_millicores)
-    score = unused_millicores(candidate.load) / capacity
+def _score(spec: StepSpec, candidate: Candidate, context: PlacementContext) -> float:
+    load = candidate.load
+    capacity = max(1, load.capacity.cpu_millicores)
+    unused_ratio = unused_millicores(load) / capacity
     if spec.backfill:
-        score -= candidate.pressure + (100 - candidate.backfill_percent) / 100
+        speed = _backfill_speed(spec, candidate, context)
+        score = speed + BACKFILL_ROOM_WEIGHT * unused_ratio
+    elif spec.long_running:
+        score = SAME_IMAGE_BONUS * _same_image_ratio(spec, load)
+        score += 1 - load.cpu_millicores / capacity
     else:
-        score += 1 - candidate.load.cpu_millicores / capacity
+        score = unused_ratio + 1 - load.cpu_millicores / capacity
     if spec.data_rack and spec.data_rack not in candidate.labels:
         score -= REMOTE_PENALTY
     return score - SUSPECT_PENALTY * candidate.suspicion
+
+
+def _same_image_ratio(spec: StepSpec, load: WorkerLoad) -> float:
+    """Return which share of the services on a worker has the step's image."""
+    total = sum(load.services_by_image.values())
+    if not total:
+        return 0.5  # an empty worker is better than one with other images
+    return load.services_by_image.get(spec.image, 0) / total
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -146,13 +146,14 @@
 
 
 def _parse_active(entry: list[Any]) -> ActiveRun:
-    # The fourth entry is the pace; the fifth is missing where nothing is shared.
-    task, run, checkpoint, percent, *usage = entry
+    # The fourth entry is progress, not speed; the fifth is missing where nothing is
+    # shared.
+    task, run, checkpoint, progress, *usage = entry
     return ActiveRun(
         TaskId.parse(task),
         int(run),
         str(checkpoint or ""),
-        float(percent or 0),
+        float(progress or 0),
         float(usage[0] or 0) if usage else 0.0,
     )
 
