--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -447,6 +447,7 @@
         context = PlacementContext(
             step.count_by_worker(),
             self._speeds(step, candidates),
+            self._likenesses(step, candidates),
             now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
         )
         if step.spec.gang and len(tasks) < step.open_count:
@@ -486,6 +487,19 @@
             for candidate in candidates
         }
 
+    def _likenesses(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> dict[str, float]:
+        """Return how alike the services on each worker are to the step's tasks."""
+        if not step.spec.long_running:
+            return {}
+        return {
+            candidate.worker: self._colocation.likeness_of(
+                self.link_by_worker[candidate.worker], step.spec
+            )
+            for candidate in candidates
+        }
+
     def _align_gang(self, chosen: list[tuple[Task, Run, WorkerLink]]) -> None:
         """Give all members the same run number and checkpoint."""
         newest = max((task for task, _, _ in chosen), key=lambda task: task.run)
@@ -524,8 +538,30 @@
                 self._summarize()
                 self._remove_old_states()
                 self._colocation.model.fit()
+            self._move_stuck_runs()
             self.wake()  # room, time and contact may have changed
 
+    def _move_stuck_runs(self) -> None:
+        now = asyncio.get_running_loop().time()
+        links = [
+            link
+            for link in self.link_by_worker.values()
+            if not link.info.is_draining and link.is_registered
+        ]
+        for link, run in self._colocation.choose_moves(links, now):
+            log.info(
+                "run is moved",
+                extra={
+                    "job": run.task.job,
+                    "task": str(run.task),
+                    "run": run.number,
+                    "worker": link.worker,
+                    "reason": "backfill cannot work beside the services there",
+                },
+            )
+            self._counters.increment("run.moved")
+            link.stop(run)
+
     def _summarize(self) -> None:
         configuration = self._read_configuration()
         if configuration is None:
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -25,7 +25,7 @@
 
     ``settling_token`` is the fencing token from which on a list that lacks an unknown
     run proves that the run does not exist and never will. ``confirmed_at``,
-    ``stop_sent_at`` and ``assigned_at`` are on the loop's clock.
+    ``stop_sent_at``, ``assigned_at`` and ``stuck_since`` are on the loop's clock.
     """
 
     task: TaskId
@@ -40,28 +40,32 @@
     progress_percent: float = 0.0
     wanted_percent: int = FULL_SPEED_PERCENT
     usage: float = 0.0
+    stuck_since: float = 0.0
 
 
 class WorkerLoad:
     """What the runs on one worker take of its capacity.
 
     Runs that are being stopped or whose state is unknown count in full. Backfill takes
-    memory and accelerators, but only processors that other runs leave unused.
+    memory and accelerators, but only processors that other runs leave unused; it counts
+    at the speed that it was given.
     """
 
     def __init__(self, capacity: Resources):
         self.capacity = capacity
         self.cpu_millicores = 0
         self.service_millicores = 0
-        self.backfill_millicores = 0
+        self.backfill_millicores = 0.0
         self.memory_mb = 0
         self.accelerators = 0
         self.services_by_image: collections.Counter[str] = collections.Counter()
 
-    def add(self, spec: StepSpec, sign: int = 1) -> None:
-        """Count one task of a step; ``sign`` -1 removes it."""
+    def add(self, run: Run, sign: int = 1) -> None:
+        """Count a run; ``sign`` -1 removes it."""
+        spec = run.spec
         if spec.backfill:
-            self.backfill_millicores += sign * spec.cpu_millicores
+            share = max(0, run.wanted_percent) / FULL_SPEED_PERCENT
+            self.backfill_millicores += sign * spec.cpu_millicores * share
         else:
             self.cpu_millicores += sign * spec.cpu_millicores
         if spec.long_running:
@@ -70,6 +74,13 @@
         self.memory_mb += sign * spec.memory_mb
         self.accelerators += sign * spec.accelerators
 
+    def change_speed(self, run: Run, percent: int) -> None:
+        """Count a backfill run at a new speed."""
+        change = max(0, percent) - max(0, run.wanted_percent)
+        cpu_millicores = run.spec.cpu_millicores * change / FULL_SPEED_PERCENT
+        self.backfill_millicores += cpu_millicores
+        run.wanted_percent = percent
+
     def fits(self, spec: StepSpec) -> bool:
         """Return whether one more task of a step fits."""
         capacity = self.capacity
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -130,7 +130,7 @@
 
     def throttle(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed."""
-        run.wanted_percent = percent
+        self.load.change_speed(run, percent)
         self._spawn(self._throttle(run, percent))
 
     # Time
@@ -359,7 +359,8 @@
             case Refused(RefusalReason.FENCED):
                 self._check_fenced(token)
             case Refused() | Unanswered():
-                run.wanted_percent = UNKNOWN_PERCENT
+                if self.run_by_task.get(run.task) is run:
+                    self.load.change_speed(run, UNKNOWN_PERCENT)
                 self._counters.increment("throttle.failed")
                 log.info(
                     "throttle failed",
@@ -389,12 +390,12 @@
 
     def _add(self, run: Run) -> None:
         self.run_by_task[run.task] = run
-        self.load.add(run.spec)
+        self.load.add(run)
 
     def _remove(self, run: Run) -> None:
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
-            self.load.add(run.spec, -1)
+            self.load.add(run, -1)
 
     def _lose(self, run: Run, reason: str) -> None:
         if self.run_by_task.get(run.task) is not run:
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -1,8 +1,8 @@
 """Choose the worker for one task.
 
 Answers three loads: tasks that reserve processors are spread to the worker with the
-most room; services of one image are kept together, so that each image of backfill finds
-workers where it disturbs nobody; backfill goes where it can work fastest.
+most room; services that answer alike to backfill are kept together, so that each image
+of backfill finds workers where it disturbs nobody; backfill goes where it can work fastest.
 """
 
 from collections import Counter
@@ -20,7 +20,7 @@
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
 FAILED_THERE_PENALTY = 3.0
-SAME_IMAGE_BONUS = 1.0
+LIKENESS_BONUS = 1.0
 BACKFILL_ROOM_WEIGHT = 0.3
 
 
@@ -41,11 +41,13 @@
 
     ``count_by_worker`` counts the step's tasks on each worker. ``speed_by_worker`` is
     the speed at which services let the step's backfill work; empty for other steps.
+    ``likeness_by_worker`` is how alike the services there answer to backfill.
     ``waited_seconds`` is how long the task has waited.
     """
 
     count_by_worker: Counter[str]
     speed_by_worker: dict[str, float]
+    likeness_by_worker: dict[str, float]
     waited_seconds: float
 
 
@@ -116,18 +118,10 @@
         speed = _backfill_speed(spec, candidate, context)
         score = speed + BACKFILL_ROOM_WEIGHT * unused_ratio
     elif spec.long_running:
-        score = SAME_IMAGE_BONUS * _same_image_ratio(spec, load)
+        score = LIKENESS_BONUS * context.likeness_by_worker.get(candidate.worker, 0.0)
         score += 1 - load.cpu_millicores / capacity
     else:
         score = unused_ratio + 1 - load.cpu_millicores / capacity
     if spec.data_rack and spec.data_rack not in candidate.labels:
         score -= REMOTE_PENALTY
     return score - SUSPECT_PENALTY * candidate.suspicion
-
-
-def _same_image_ratio(spec: StepSpec, load: WorkerLoad) -> float:
-    """Return which share of the services on a worker has the step's image."""
-    total = sum(load.services_by_image.values())
-    if not total:
-        return 0.5  # an empty worker is better than one with other images
-    return load.services_by_image.get(spec.image, 0) / total
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -1,11 +1,14 @@
 """Backfill beside services on all workers: what is learnt, and what follows from it."""
 
+import asyncio
 import collections
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepSpec
-from savorydale.orders.runs import Run
+from savorydale.orders.runs import Run, RunState
 from savorydale.orders.worker_link import WorkerLink
+from savorydale.placement.choice import unused_millicores
 from savorydale.placement.interference import InterferenceModel
 from savorydale.placement.pacing import (
     BackfillUse,
@@ -22,6 +25,21 @@
     percent: int
 
 
+class Move(NamedTuple):
+    """Stop ``run`` on the worker of ``link``, so that it continues elsewhere."""
+
+    link: WorkerLink
+    run: Run
+
+
+EMPTY_LIKENESS = 0.6  # an empty worker is better than one with unlike services
+STUCK_PERCENT = 10
+STUCK_SECONDS = 1.5
+MOVE_MIN_SPEED = 0.6
+MOVE_MAX_PROGRESS_PERCENT = 97.0  # later, a move costs more than it gains
+MOVES_PER_ROUND = 4
+
+
 class Colocation:
     """Learns from workers' reports and decides the speed of backfill."""
 
@@ -60,6 +78,57 @@
         backfill.append(BackfillUse(spec.image, total, 0.0))
         return pace.speeds(self.model, services, backfill)[spec.image]
 
+    def likeness_of(self, link: WorkerLink, spec: StepSpec) -> float:
+        """Return how alike the services on a worker are to a step's tasks."""
+        counts = link.load.services_by_image
+        total = sum(counts.values())
+        if not total:
+            return EMPTY_LIKENESS
+        return (
+            sum(
+                count * self.model.likeness(spec.image, image)
+                for image, count in counts.items()
+                if count
+            )
+            / total
+        )
+
+    def choose_moves(self, links: Sequence[WorkerLink], now: float) -> list[Move]:
+        """Return runs that cannot work where they are but could elsewhere.
+
+        Only runs that resume from a checkpoint are moved.
+        """
+        moves: list[Move] = []
+        for link in links:
+            for run in link.run_by_task.values():
+                if not self._is_stuck(run, now):
+                    continue
+                others = [other for other in links if other is not link]
+                if any(self._could_work(other, run) for other in others):
+                    moves.append(Move(link, run))
+                if len(moves) >= MOVES_PER_ROUND:
+                    return moves
+        return moves
+
+    def _is_stuck(self, run: Run, now: float) -> bool:
+        spec = run.spec
+        if not spec.backfill or not spec.checkpointing or run.stop_wanted:
+            return False
+        if run.wanted_percent > STUCK_PERCENT or run.state is not RunState.ACTIVE:
+            run.stuck_since = now
+            return False
+        if run.progress_percent > MOVE_MAX_PROGRESS_PERCENT:
+            return False
+        return now - max(run.stuck_since, run.confirmed_at) > STUCK_SECONDS
+
+    def _could_work(self, link: WorkerLink, run: Run) -> bool:
+        if not link.is_in_contact(asyncio.get_running_loop().time()):
+            return False
+        if not link.load.fits(run.spec):
+            return False
+        room = unused_millicores(link.load) / max(1, run.spec.cpu_millicores)
+        return min(room, self.speed_of(link, run.spec)) >= MOVE_MIN_SPEED
+
     def _pace_of(self, worker: str) -> WorkerPace:
         return self._pace_by_worker.setdefault(worker, WorkerPace())
 
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -6,13 +6,15 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 BASE = ""  # key of the base among the coefficients
-FADING = 0.9995  # weight that an observation keeps with each later one
-RIDGE = 0.02  # keeps the slopes of images that were hardly seen near zero
-PASSES = 2  # of coordinate descent after each batch of observations
-OUTLIER_RATIO = 8.0  # tails are cut at this many targets
+FADING = 0.9999  # weight that an observation keeps with each later one
+RIDGE = 0.2  # keeps the slopes of images that were hardly seen near zero
+PASSES = 6  # of coordinate descent after each batch of observations
+UNKNOWN_LIKENESS = 0.4  # of services about which nothing was learnt
+OUTLIER_RATIO = 4.0  # tails are cut at this many targets
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +78,23 @@
         fit = self._fit_by_image.get(service_image)
         return fit.coefficients.get(backfill_image, 0.0) if fit else 0.0
 
+    def likeness(self, first_image: str, second_image: str) -> float:
+        """Return how alike two services answer to backfill, from 0 to 1."""
+        if first_image == second_image:
+            return 1.0
+        first = self._slopes_of(first_image)
+        second = self._slopes_of(second_image)
+        norm = math.hypot(*first.values()) * math.hypot(*second.values())
+        if norm <= 0:
+            return UNKNOWN_LIKENESS
+        product = sum(slope * second.get(image, 0.0) for image, slope in first.items())
+        return product / norm
+
+    def _slopes_of(self, service_image: str) -> dict[str, float]:
+        fit = self._fit_by_image.get(service_image)
+        coefficients = fit.coefficients if fit else {}
+        return {image: value for image, value in coefficients.items() if image != BASE}
+
     def base_ms(self, service_image: str) -> float:
         """Return the tail latency of a service without backfill beside it."""
         fit = self._fit_by_image.get(service_image)
--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -14,13 +14,14 @@
 FULL_PERCENT = 100
 STEP_PERCENT = 10  # smaller changes of speed are not worth an order
 GOAL_RATIO = 0.8  # of the latency target, since reports are rough and late
-BREACH_RATIO = 1.0
 BRAKE_RATIO = 0.5
 RELEASE_RATIO = 1.5
 MIN_BRAKE = 0.08
 BREACHES_BEFORE_BRAKE = 2
-SMOOTHING = 0.4  # weight of the newest report in a service's base latency
-MIN_CONTRIBUTION_RATIO = 0.03  # of the target; below, an image is not slowed
+BREACHES_BEFORE_BRAKING_ALL = 4
+SUSPECT_SLOPE_TARGETS = 1.0
+SMOOTHING = 0.25  # weight of the newest report in a service's base latency
+MIN_SLOPE_TARGETS = 2.5  # targets per whole worker; below, an image is not slowed
 EPSILON = 1e-9
 
 
@@ -44,14 +45,24 @@
     used: float
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceRecord:
+    """What pacing remembers of one service task.
+
+    ``base_ms`` is its tail latency without backfill; ``breaches`` counts the reports in
+    a row that show it over its target.
+    """
+
+    base_ms: float
+    breaches: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class WorkerPace:
     """What pacing remembers of one worker."""
 
-    base_by_task: dict[str, float] = dataclasses.field(default_factory=dict)
-    breaches: int = 0
-    brake: float = 1.0
-    pressure: float = 0.0
+    record_by_task: dict[str, ServiceRecord] = dataclasses.field(default_factory=dict)
+    brake_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def observe(
         self,
@@ -60,34 +71,47 @@
         backfill: Sequence[BackfillUse],
     ) -> None:
         """Take in one report of a worker."""
-        bases: dict[str, float] = {}
+        records: dict[str, ServiceRecord] = {}
+        braked: set[str] = set()
         for service in services:
-            added = sum(
-                model.slope_ms(service.image, use.image) * use.used for use in backfill
-            )
-            base = max(0.0, service.tail_ms - added)
-            known = self.base_by_task.get(service.task, base)
-            bases[service.task] = known + SMOOTHING * (base - known)
-        self.base_by_task = bases
-        self.pressure = max(
-            (service.tail_ms / service.target_ms for service in services), default=0.0
+            record = self._observe_service(model, service, backfill)
+            records[service.task] = record
+            braked |= _images_to_brake(model, service, backfill, record.breaches)
+        self.record_by_task = records
+        for use in backfill:
+            self._adapt_brake(use.image, use.image in braked)
+
+    def _observe_service(
+        self,
+        model: InterferenceModel,
+        service: ServiceUse,
+        backfill: Sequence[BackfillUse],
+    ) -> ServiceRecord:
+        added = sum(
+            model.slope_ms(service.image, use.image) * use.used for use in backfill
         )
-        self._adapt_brake()
-
-    def _adapt_brake(self) -> None:
-        if self.pressure >= BREACH_RATIO:
-            self.breaches += 1
-            if self.breaches >= BREACHES_BEFORE_BRAKE:
-                self.brake *= BRAKE_RATIO
-            if self.brake < MIN_BRAKE:
-                self.brake = 0.0
+        base = max(0.0, min(service.tail_ms, service.target_ms) - added)
+        record = self.record_by_task.get(service.task)
+        if record is None:
+            record = ServiceRecord(base)
+        record.base_ms += SMOOTHING * (base - record.base_ms)
+        is_over = service.tail_ms >= service.target_ms
+        record.breaches = record.breaches + 1 if is_over else 0
+        return record
+
+    def _adapt_brake(self, image: str, is_braked: bool) -> None:
+        brake = self.brake_by_image.get(image, 1.0)
+        if is_braked:
+            brake *= BRAKE_RATIO
+            self.brake_by_image[image] = brake if brake >= MIN_BRAKE else 0.0
             return
-        self.breaches = 0
-        self.brake = min(1.0, max(MIN_BRAKE, self.brake) * RELEASE_RATIO)
+        self.brake_by_image[image] = min(1.0, max(MIN_BRAKE, brake) * RELEASE_RATIO)
 
     def budget_ms(self, model: InterferenceModel, service: ServiceUse) -> float:
         """Return how much latency backfill may add to a service."""
-        base = self.base_by_task.get(service.task, model.base_ms(service.image))
+        typical = model.base_ms(service.image)
+        record = self.record_by_task.get(service.task)
+        base = (record.base_ms + typical) / 2 if record else typical
         return max(0.0, GOAL_RATIO * service.target_ms - base)
 
     def speeds(
@@ -99,20 +123,49 @@
         """Return the speed of each backfill image, from 0 to 1."""
         speed_by_image = {use.image: 1.0 for use in backfill}
         for service in services:
-            added_by_image = {
-                use.image: model.slope_ms(service.image, use.image) * use.demand
-                for use in backfill
-            }
-            least = MIN_CONTRIBUTION_RATIO * service.target_ms
-            pressing = {
-                image: added for image, added in added_by_image.items() if added > least
-            }
-            if not pressing:
-                continue
-            ratio = self.budget_ms(model, service) / (sum(pressing.values()) + EPSILON)
-            for image in pressing:
-                speed_by_image[image] = min(speed_by_image[image], ratio)
-        return {image: speed * self.brake for image, speed in speed_by_image.items()}
+            pressing = _pressing(model, service, backfill, MIN_SLOPE_TARGETS)
+            budget = self.budget_ms(model, service)
+            # The images that disturb least for the processors they use come first.
+            for slope, use in pressing:
+                added = slope * use.demand
+                speed = min(1.0, budget / (added + EPSILON))
+                speed_by_image[use.image] = min(speed_by_image[use.image], speed)
+                budget = max(0.0, budget - added)
+        return {
+            image: speed * self.brake_by_image.get(image, 1.0)
+            for image, speed in speed_by_image.items()
+        }
+
+
+def _pressing(
+    model: InterferenceModel,
+    service: ServiceUse,
+    backfill: Sequence[BackfillUse],
+    min_slope_targets: float,
+) -> list[tuple[float, BackfillUse]]:
+    """Return the images that slow a service down, and by how much, least first."""
+    least = min_slope_targets * service.target_ms
+    pairs = [(model.slope_ms(service.image, use.image), use) for use in backfill]
+    return sorted(pair for pair in pairs if pair[0] >= least)
+
+
+def _images_to_brake(
+    model: InterferenceModel,
+    service: ServiceUse,
+    backfill: Sequence[BackfillUse],
+    breaches: int,
+) -> set[str]:
+    """Return which images must slow down because a service is over its target.
+
+    Those known to slow it down go first; after a while all do, since what is known may
+    be wrong.
+    """
+    if breaches >= BREACHES_BEFORE_BRAKING_ALL:
+        return {use.image for use in backfill}
+    if breaches >= BREACHES_BEFORE_BRAKE:
+        suspects = _pressing(model, service, backfill, SUSPECT_SLOPE_TARGETS)
+        return {use.image for _, use in suspects}
+    return set()
 
 
 def to_percent(speed: float) -> int:
