--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -78,8 +78,10 @@
             records[service.task] = record
             braked |= _images_to_brake(model, service, backfill, record.breaches)
         self.record_by_task = records
-        for use in backfill:
-            self._adapt_brake(use.image, use.image in braked)
+        self.brake_by_image = {
+            use.image: self._next_brake(use.image, use.image in braked)
+            for use in backfill
+        }
 
     def _observe_service(
         self,
@@ -99,13 +101,12 @@
         record.breaches = record.breaches + 1 if is_over else 0
         return record
 
-    def _adapt_brake(self, image: str, is_braked: bool) -> None:
+    def _next_brake(self, image: str, is_braked: bool) -> float:
         brake = self.brake_by_image.get(image, 1.0)
-        if is_braked:
-            brake *= BRAKE_RATIO
-            self.brake_by_image[image] = brake if brake >= MIN_BRAKE else 0.0
-            return
-        self.brake_by_image[image] = min(1.0, max(MIN_BRAKE, brake) * RELEASE_RATIO)
+        if not is_braked:
+            return min(1.0, max(MIN_BRAKE, brake) * RELEASE_RATIO)
+        brake *= BRAKE_RATIO
+        return brake if brake >= MIN_BRAKE else 0.0
 
     def budget_ms(self, model: InterferenceModel, service: ServiceUse) -> float:
         """Return how much latency backfill may add to a service."""
