--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -37,6 +37,8 @@
 STORE_CONTACT_SECONDS = 3.0  # without the store for longer, callers do better elsewhere
 RELEASE_TIMEOUT_SECONDS = 1.0
 SHUTDOWN_SECONDS = 2.0
+LAME_DUCK_SECONDS = 2.5  # the balancer notices after two missed checks, 1 s apart
+LAME_DUCK_SHARE = 0.4  # of the time that a stopping process has
 HEAD_START_SECONDS = 0.1  # for a VM with one whole core; longer for smaller ones
 MAX_HEAD_START_SECONDS = 0.6
 
@@ -50,6 +52,7 @@
         self._config = config
         self._counters = counters
         self._store: RowStore = PlatformStore(http, config["store"]["address"])
+        self.desk = JobDesk(self._store)
         self._orders: WorkerOrders = PlatformWorkers(http, counters)
         self._configuration: Configuration | None = None
         self._store_contact_at = 0.0
@@ -73,25 +76,38 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then finish what is under way."""
+        async with self._servers():
+            log.info("entry serves", extra={"vm": self._identity.vm})
+            await self.work(stop)
+
+    async def work(self, stop: asyncio.Event) -> None:
+        """Follow the configuration and schedule in turn until ``stop`` is set."""
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(self._follow_configuration()),
-                group.create_task(self._schedule_in_turn()),
-            ]
-            async with self._servers():
-                log.info("entry serves", extra={"vm": self._identity.vm})
-                await stop.wait()
-                log.info("entry stops", extra={"vm": self._identity.vm})
-                self._is_stopping = True
-                for task in tasks:
-                    task.cancel()
-                await self._release()
+            following = group.create_task(self._follow_configuration())
+            scheduling = group.create_task(self._schedule_in_turn())
+            await stop.wait()
+            log.info("entry stops", extra={"vm": self._identity.vm})
+            self._is_stopping = True
+            scheduling.cancel()
+            await asyncio.wait([scheduling])
+            await self._release()
+            await asyncio.sleep(self._lame_duck_seconds())
+            following.cancel()
+
+    def _lame_duck_seconds(self) -> float:
+        """Return how long callers are still served after readiness was withdrawn."""
+        grace = self._config["timing"]["stop_grace_s"]
+        return min(LAME_DUCK_SECONDS, grace * LAME_DUCK_SHARE)
+
+    def is_stopping(self) -> bool:
+        """Return whether the process was told to stop."""
+        return self._is_stopping
 
     @contextlib.asynccontextmanager
     async def _servers(self) -> AsyncIterator[None]:
         """Open all HTTP servers; at the end, let requests under way finish."""
         frontend = Frontend(
-            JobDesk(self._store), self._counters, self.read_configuration
+            self.desk, self._counters, self.read_configuration, self.is_stopping
         )
         listen = self._config["listen"]
         pages = [
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -145,9 +145,15 @@
         return self._clock_at + left + LAPSE_MARGIN_SECONDS
 
     def _next_lease_end(self) -> int | None:
-        if self._clock_ms is None:
+        """Return the lease end to ask for, ``None`` to leave it as it is.
+
+        A worker that does not answer gets no longer lease: the order may arrive all the
+        same, and its tasks could not be started elsewhere before that lease has ended.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._clock_ms is None or not self.is_in_contact(now):
             return None
-        elapsed = asyncio.get_running_loop().time() - self._clock_at
+        elapsed = now - self._clock_at
         clock_ms = self._clock_ms + elapsed * MILLISECONDS
         end_ms = int(clock_ms + self._lease_max_ms)
         self._lease_end_ms = max(self._lease_end_ms, end_ms)
@@ -297,7 +303,7 @@
             token = self._token
             lease_end_ms = self._next_lease_end()
             if lease_end_ms is None:
-                self._lose(run, "clock of the worker is not known")
+                self._lose(run, "the worker does not answer")
                 return
             order = StartOrder(
                 run.task, run.number, payload, lease_end_ms, checkpoint, ticket
--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -12,7 +12,7 @@
 import logging
 from typing import NamedTuple
 
-from savorydale.exceptions import LeadershipLostError, RowFormatError
+from savorydale.exceptions import LeadershipLostError, RowFormatError, StoreError
 from savorydale.jobs.rows import LEASE_KEY
 from savorydale.storage.rows import (
     ABSENT,
@@ -25,6 +25,7 @@
     RowTransaction,
     RowWrite,
     StoredRow,
+    read_row,
 )
 
 COMMIT_TIMEOUT_SECONDS = 0.6
@@ -96,12 +97,25 @@
 
     async def release(self, timeout_seconds: float) -> None:
         """Give up the lease, if the store can be reached in time."""
-        row = LeaseRow(None, self.epoch, self.sequence + 1)
         try:
             async with asyncio.timeout(timeout_seconds):
-                await self._write(row, [])
-        except TimeoutError:
-            log.warning("lease could not be released", extra={"epoch": self.epoch})
+                await self._release()
+        except (TimeoutError, StoreError, LeadershipLostError) as error:
+            log.warning(
+                "lease could not be released",
+                extra={"epoch": self.epoch, "reason": repr(error)},
+            )
+            return
+        log.info("lease released", extra={"epoch": self.epoch})
+
+    async def _release(self) -> None:
+        # A transaction that was cut short may have taken effect, so read first.
+        stored, _ = await read_row(self.store, LEASE_KEY, COMMIT_TIMEOUT_SECONDS)
+        current = decode_lease(stored.value) if stored and stored.value else None
+        if stored is None or current is None or current.holder != self.identity:
+            raise LeadershipLostError(f"lease is now {current}")
+        self.version = stored.version
+        await self._write(LeaseRow(None, self.epoch, current.sequence + 1), [])
 
     async def _commit_chunk(self, writes: list[RowWrite]) -> None:
         self.sequence += 1
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -2,7 +2,7 @@
 
 Answers three loads: tasks that reserve processors are spread to the worker with the
 most room; services that answer alike to backfill are kept together, so that each image
-of backfill finds workers where it disturbs nobody; backfill goes where it works fastest.
+of backfill finds workers where it disturbs nobody; backfill goes where it is fastest.
 """
 
 from collections import Counter
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -54,7 +54,9 @@
         desk: JobDesk,
         counters: Counters,
         read_configuration: Callable[[], Configuration | None],
+        is_stopping: Callable[[], bool],
     ):
+        self._is_stopping = is_stopping
         self._desk = desk
         self._counters = counters
         self._read_configuration = read_configuration
@@ -168,7 +170,10 @@
         headers: dict[str, str] | None = None,
     ) -> web.Response:
         self._counters.increment(f"answer.{status}.{reason}")
-        return web.json_response(body, status=status, headers=headers)
+        response = web.json_response(body, status=status, headers=headers)
+        if self._is_stopping():
+            response.force_close()  # the caller's next request goes elsewhere
+        return response
 
 
 def decode_job_request(raw: bytes) -> JobSpec:
