--- a/savorydale/commands/serve_jobs.py
+++ b/savorydale/commands/serve_jobs.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import signal
+import uuid
 
 from savorydale.commands.exit_codes import ExitCode
 from savorydale.config.vm import load_vm_config
@@ -33,7 +34,7 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _check_again, path, config)
     async with open_http_client() as http:
-        await JobEntry(config, http, counters).run(stop)
+        await JobEntry(config, http, counters, uuid.uuid4().hex).run(stop)
 
 
 def _check_again(path: pathlib.Path, config: VmConfig) -> None:
--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import random
-import uuid
 from collections.abc import AsyncIterator
 
 from aiohttp import web
@@ -48,7 +47,9 @@
 class JobEntry:
     """All that one process does; see `run`."""
 
-    def __init__(self, config: VmConfig, http: HttpClient, counters: Counters):
+    def __init__(
+        self, config: VmConfig, http: HttpClient, counters: Counters, incarnation: str
+    ):
         self._config = config
         self._counters = counters
         self._store: RowStore = PlatformStore(http, config["store"]["address"])
@@ -59,7 +60,7 @@
         self._is_stopping = False
         self._scheduler: JobScheduler | None = None
         self._lease: SchedulerLease | None = None
-        self._identity = EntryIdentity(config["vm"]["name"], uuid.uuid4().hex[:12])
+        self._identity = EntryIdentity(config["vm"]["name"], incarnation)
 
     # What callers and the balancer see
 
--- a/savorydale/jobs/ledger.py
+++ b/savorydale/jobs/ledger.py
@@ -254,6 +254,10 @@
         step, task = found
         if task.done or task.run != end.run or task.worker not in ("", worker):
             return EndEffect.STALE
+        if not task.worker and end.reason is not EndReason.DONE:
+            # An earlier holder of the lease has counted this end, or the run was given
+            # up when its lease had lapsed.
+            return EndEffect.STALE
         self.release(task, step, now)
         if end.checkpoint and step.spec.checkpointing:
             task.checkpoint = end.checkpoint
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -29,9 +29,9 @@
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
 
 HOLD_WAIT_MS = 500
-HOLD_RETRY_SECONDS = 0.2
+HOLD_RETRY_SECONDS = 0.1
 ACKNOWLEDGE_WAIT_SECONDS = 0.3
-CONTACT_SECONDS = 1.6  # a few holds may fail before a worker gets no more starts
+CONTACT_SECONDS = 2.0  # a few holds may fail before a worker gets no more starts
 STOP_RETRY_SECONDS = 1.0
 CONCURRENT_ORDERS = 2
 CLOCK_DRIFT = 0.02  # a worker's steady clock may be this much slow
@@ -89,6 +89,7 @@
         self._created_at = asyncio.get_running_loop().time()
         self._slots = asyncio.Semaphore(CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._asks_at_once = True
         self._wake = asyncio.Event()
         self._failure: BaseException | None = None
 
@@ -187,13 +188,15 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         token = self._token
-        is_first = self.contact_at is None or bool(self._unsettled())
+        at_once = self._asks_at_once or bool(self._unsettled())
         order = HoldOrder(
-            self.acknowledged, self._next_lease_end(), 0 if is_first else HOLD_WAIT_MS
+            self.acknowledged, self._next_lease_end(), 0 if at_once else HOLD_WAIT_MS
         )
+        self._asks_at_once = True
         outcome = await self._orders.hold(self._target(token), order)
         match outcome:
             case Held():
+                self._asks_at_once = False
                 self._take_in(outcome, sent_at, token)
                 await self._wait_for_acknowledgement()
                 return
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -23,6 +23,7 @@
 from savorydale.platform.http import HttpClient, HttpReply, NoReplyError, NotSentError
 
 ORDER_TIMEOUT_SECONDS = 1.0
+HOLD_MARGIN_SECONDS = 0.5
 INCARNATION_HEADER = "Savorydale-Target-Instance"
 MILLISECONDS = 1000
 
@@ -64,7 +65,7 @@
         body: JsonObject = {"ackCursor": order.acknowledged, "waitMs": order.wait_ms}
         if order.lease_end_ms is not None:
             body["deadlineMs"] = order.lease_end_ms
-        timeout = ORDER_TIMEOUT_SECONDS + order.wait_ms / MILLISECONDS
+        timeout = HOLD_MARGIN_SECONDS + order.wait_ms / MILLISECONDS
         outcome = await self._send(target, "hold", body, timeout)
         if not isinstance(outcome, HttpReply):
             return outcome
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -13,6 +13,7 @@
 
 from savorydale.config.vm import parse_vm_config
 from savorydale.counters import Counters
+from savorydale.exceptions import StoreError
 from savorydale.job_entry import JobEntry
 from savorydale.jobs.model import JobSpec, StepSpec
 from savorydale.jobs.rows import JobStatus
@@ -93,6 +94,7 @@
     def __init__(self) -> None:
         self.found: list[str] = []
         self.starts: collections.Counter[str] = collections.Counter()
+        self.ends: collections.Counter[str] = collections.Counter()
         self._worker_by_task: dict[str, str] = {}
         self._done: set[str] = set()
 
@@ -106,10 +108,13 @@
         self._worker_by_task[task] = worker
 
     def on_end(self, worker: str, task: str, run: int, how: str) -> None:
+        self.ends[task] += 1
         if self._worker_by_task.get(task) == worker:
             del self._worker_by_task[task]
         if how == "done":
             self._done.add(task)
+        if how == "void":
+            self._done.discard(task)
 
 
 class Branch:
@@ -117,6 +122,8 @@
 
     def __init__(self, plan: Callable[[str, int], Plan], seed: int = 1):
         self.rng = random.Random(seed)
+        self._seed = seed
+        self._lives = 0
         self.store = RowStoreStandin()
         self.violations = Violations()
         self.worker_by_name: dict[str, TaskWorkerStandin] = {}
@@ -159,9 +166,10 @@
         self.register(name)
         return worker
 
-    def register(self, name: str) -> None:
+    def register(self, name: str, state: str = "ready") -> None:
         """Let a worker write its registration."""
-        row = self.worker_by_name[name].registration(f"{name}:80", SERVICE, ["a", "r1"])
+        worker = self.worker_by_name[name]
+        row = worker.registration(f"{name}:80", SERVICE, ["a", "r1"], state)
         self.store.put("servers", name, row)
 
     def start_entry(self, name: str) -> JobEntry:
@@ -175,7 +183,9 @@
             },
             name,
         )
-        entry = JobEntry(config, MemoryHttp(self, name), self.counters)
+        self._lives += 1
+        incarnation = f"{self._lives}-{self._seed}"
+        entry = JobEntry(config, MemoryHttp(self, name), self.counters, incarnation)
         stop = asyncio.Event()
         self.entry_by_name[name] = entry
         self._stop_by_entry[name] = stop
@@ -246,9 +256,12 @@
         self, entry: str, job: str, status: JobStatus, seconds: float
     ) -> None:
         """Wait until an entry shows a job in a state."""
+        shown = None
         async with asyncio.timeout(seconds):
-            while await self.status(entry, job) is not status:
+            while shown is not status:
                 await asyncio.sleep(0.05)
+                with contextlib.suppress(StoreError):
+                    shown = await self.status(entry, job)
 
     async def wait_until(self, condition: Callable[[], bool], seconds: float) -> None:
         """Wait until a condition of the test holds."""
--- a/savorydale/tests/branch_tests.py
+++ b/savorydale/tests/branch_tests.py
@@ -206,3 +206,24 @@
         await branch.submit("e0", JOB, STEP)
         branch.store.forget_history()
         await branch.wait_for_status("e0", JOB, JobStatus.COMPLETED, 5)
+
+
+@on_virtual_time
+async def test_failure_is_counted_once_when_the_holder_dies_before_acknowledging():
+    def fail_once(task, run):
+        return Plan(0.5, "failed" if run == 1 else "done")
+
+    async with open_branch(fail_once, workers=1) as branch:
+        holder = branch.scheduling_entry()
+        other = next(name for name in branch.entry_by_name if name != holder)
+        await branch.submit(other, JOB, StepSpec(1, 500, 100))
+        await branch.wait_until(lambda: branch.violations.starts.total() == 1, 3)
+        branch.register("w0", state="draining")  # no second run yet
+        await branch.wait_until(lambda: branch.violations.ends.total() == 1, 3)
+        # The end is durable soon; its acknowledgement never arrives.
+        branch.faults_between(holder, "w0:80").is_cut = True
+        await asyncio.sleep(0.2)
+        await branch.kill_entry(holder)
+        await asyncio.sleep(4)
+        branch.register("w0")
+        await branch.wait_for_status(other, JOB, JobStatus.COMPLETED, 15)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -82,7 +82,9 @@
         """Return the worker's steady clock."""
         return int((asyncio.get_running_loop().time() - self._born_at) * 1000)
 
-    def registration(self, address: str, service: str, labels: list[str]) -> bytes:
+    def registration(
+        self, address: str, service: str, labels: list[str], state: str = "ready"
+    ) -> bytes:
         """Return what the worker writes to the store about itself."""
         return json.dumps(
             {
@@ -91,7 +93,7 @@
                 "zone": "z1",
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": state,
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
                 "labels": labels,
@@ -200,6 +202,9 @@
     async def _lapse(self) -> None:
         while self.clock_ms < self.lease_end_ms:
             await asyncio.sleep((self.lease_end_ms - self.clock_ms) / 1000 + 0.001)
+        for end in self._ends:
+            # An end that nobody took note of before the lease lapsed does not count.
+            self.on_end(self.worker, str(end[1]), int(str(end[2])), "void")
         for held in list(self.run_by_task.values()):
             self._end(held, "lapsed")
 
