--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -296,6 +296,13 @@
         self.ledger.forget_if_idle(step.job)
         self.wake()
 
+    def on_started(self, link: WorkerLink, run: Run) -> None:
+        """Slow new backfill down at once, if the services beside it ask for that."""
+        if not run.spec.backfill:
+            return
+        for paced, percent in self._colocation.pace_changes(link):
+            link.throttle(paced, percent)
+
     def on_report(self, link: WorkerLink) -> None:
         """Adapt the speed of backfill to the services' tail latency."""
         for run, percent in self._colocation.on_report(link):
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -52,6 +52,9 @@
     def on_lost(self, link: "WorkerLink", run: Run, reason: str) -> None:
         """Take in that a run does not exist and never will again."""
 
+    def on_started(self, link: "WorkerLink", run: Run) -> None:
+        """Take in that the worker has accepted a start order."""
+
     def on_report(self, link: "WorkerLink") -> None:
         """Take in that the usage of all active runs was renewed."""
 
@@ -320,6 +323,7 @@
                 self._confirm(run)
                 self._counters.increment("start.accepted")
                 log.info("run started", extra=extra)
+                self._listener.on_started(self, run)
                 if run.stop_wanted:
                     self._send_stop(run)
             case Refused(reason, detail):
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -54,15 +54,20 @@
         backfill = _backfill_on(link)
         shares = {use.image: use.used for use in backfill}
         for service in services:
-            self.model.observe(
-                service.image, shares, service.tail_ms, service.target_ms
-            )
-        pace.observe(self.model, services, backfill)
-        speeds = pace.speeds(self.model, services, backfill)
+            self.model.observe(service.image, shares, service.tail_ms)
+        now = asyncio.get_running_loop().time()
+        pace.observe(self.model, services, backfill, now)
+        return self.pace_changes(link)
+
+    def pace_changes(self, link: WorkerLink) -> list[PaceChange]:
+        """Return the speeds to change on a worker as it is loaded now."""
+        pace = self._pace_of(link.worker)
+        speeds = pace.speeds(self.model, _services_on(link), _backfill_on(link))
         return [
             PaceChange(run, percent)
             for run in link.run_by_task.values()
             if run.spec.backfill
+            and run.state is RunState.ACTIVE
             and (percent := to_percent(speeds.get(run.spec.image, 1.0)))
             != run.wanted_percent
         ]
@@ -70,6 +75,8 @@
     def speed_of(self, link: WorkerLink, spec: StepSpec) -> float:
         """Return the speed that one more backfill task would have on a worker."""
         pace = self._pace_of(link.worker)
+        if pace.has_breach:
+            return 0.0
         services = _services_on(link)
         demand = spec.cpu_millicores / max(1, link.load.capacity.cpu_millicores)
         backfill = [use for use in _backfill_on(link) if use.image != spec.image]
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -1,8 +1,9 @@
 """Learn how much backfill of each image slows services of each image.
 
-The tail latency of a service is taken to be a base plus, for each image of backfill
-beside it, a slope times the share of the worker's processors that this image uses.
-Slopes are fitted by non-negative least squares over all reports, older ones fading.
+The logarithm of a service's tail latency is taken to be a base plus, for each image of
+backfill beside it, a slope times the share of the worker's processors that this image
+uses: interference multiplies. Slopes are fitted by non-negative least squares over all
+reports, older ones fading.
 """
 
 import dataclasses
@@ -14,18 +15,18 @@
 RIDGE = 0.2  # keeps the slopes of images that were hardly seen near zero
 PASSES = 6  # of coordinate descent after each batch of observations
 UNKNOWN_LIKENESS = 0.4  # of services about which nothing was learnt
-OUTLIER_RATIO = 4.0  # tails are cut at this many targets
+MIN_TAIL_MS = 0.5  # reports are in whole milliseconds
 
 
 @dataclasses.dataclass(slots=True)
 class TailFit:
-    """Least squares fit of one service image's tail latency, in milliseconds."""
+    """Least squares fit of the logarithm of one service image's tail latency."""
 
     moments: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
     products: dict[str, float] = dataclasses.field(default_factory=dict)
     coefficients: dict[str, float] = dataclasses.field(default_factory=dict)
 
-    def observe(self, share_by_image: Mapping[str, float], tail_ms: float) -> None:
+    def observe(self, share_by_image: Mapping[str, float], log_tail: float) -> None:
         """Take in one observation."""
         inputs = {BASE: 1.0, **share_by_image}
         for key in self.moments:
@@ -33,7 +34,7 @@
         for name in self.products:
             self.products[name] *= FADING
         for first, value in inputs.items():
-            self.products[first] = self.products.get(first, 0.0) + value * tail_ms
+            self.products[first] = self.products.get(first, 0.0) + value * log_tail
             for second, other in inputs.items():
                 key = (first, second)
                 self.moments[key] = self.moments.get(key, 0.0) + value * other
@@ -51,6 +52,11 @@
                 self.coefficients[name] = max(0.0, (product - rest) / square)
 
 
+def log_tail(tail_ms: float) -> float:
+    """Return the logarithm of a tail latency in milliseconds."""
+    return math.log(max(MIN_TAIL_MS, tail_ms))
+
+
 class InterferenceModel:
     """Slopes for all pairs of a service image and a backfill image."""
 
@@ -62,19 +68,18 @@
         service_image: str,
         share_by_image: Mapping[str, float],
         tail_ms: float,
-        target_ms: float,
     ) -> None:
         """Take in a tail latency and the shares of processors beside it."""
         fit = self._fit_by_image.setdefault(service_image, TailFit())
-        fit.observe(share_by_image, min(tail_ms, OUTLIER_RATIO * target_ms))
+        fit.observe(share_by_image, log_tail(tail_ms))
 
     def fit(self) -> None:
         """Improve all coefficients with what was observed since."""
         for fit in self._fit_by_image.values():
             fit.fit()
 
-    def slope_ms(self, service_image: str, backfill_image: str) -> float:
-        """Return the latency added by backfill on all of a worker's processors."""
+    def slope(self, service_image: str, backfill_image: str) -> float:
+        """Return what backfill on all of a worker's processors adds to the logarithm."""
         fit = self._fit_by_image.get(service_image)
         return fit.coefficients.get(backfill_image, 0.0) if fit else 0.0
 
@@ -95,7 +100,7 @@
         coefficients = fit.coefficients if fit else {}
         return {image: value for image, value in coefficients.items() if image != BASE}
 
-    def base_ms(self, service_image: str) -> float:
-        """Return the tail latency of a service without backfill beside it."""
+    def base(self, service_image: str) -> float:
+        """Return the logarithm of a service's tail latency without backfill."""
         fit = self._fit_by_image.get(service_image)
         return fit.coefficients.get(BASE, 0.0) if fit else 0.0
--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -6,22 +6,24 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorydale.placement.interference import InterferenceModel
+from savorydale.placement.interference import InterferenceModel, log_tail
 
 FULL_PERCENT = 100
 STEP_PERCENT = 10  # smaller changes of speed are not worth an order
-GOAL_RATIO = 0.8  # of the latency target, since reports are rough and late
+GOAL_RATIO = 0.75  # of the latency target, since reports are rough and late
 BRAKE_RATIO = 0.5
-RELEASE_RATIO = 1.5
+RELEASE_RATIO = 1.2
+REPORT_SECONDS = 0.4  # reports that follow faster repeat the same figures
 MIN_BRAKE = 0.08
 BREACHES_BEFORE_BRAKE = 2
 BREACHES_BEFORE_BRAKING_ALL = 4
-SUSPECT_SLOPE_TARGETS = 1.0
+SUSPECT_SLOPE = 1.0  # below, an image is not blamed for a breach
 SMOOTHING = 0.25  # weight of the newest report in a service's base latency
-MIN_SLOPE_TARGETS = 2.5  # targets per whole worker; below, an image is not slowed
+MIN_SLOPE = 2.0  # below, backfill of an image is not slowed for a service
 EPSILON = 1e-9
 
 
@@ -49,11 +51,11 @@
 class ServiceRecord:
     """What pacing remembers of one service task.
 
-    ``base_ms`` is its tail latency without backfill; ``breaches`` counts the reports in
-    a row that show it over its target.
+    ``base`` is the logarithm of its tail latency without backfill; ``breaches`` counts
+    the reports in a row that show it over its target.
     """
 
-    base_ms: float
+    base: float
     breaches: int = 0
 
 
@@ -63,14 +65,19 @@
 
     record_by_task: dict[str, ServiceRecord] = dataclasses.field(default_factory=dict)
     brake_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+    observed_at: float = -math.inf
 
     def observe(
         self,
         model: InterferenceModel,
         services: Sequence[ServiceUse],
         backfill: Sequence[BackfillUse],
+        now: float,
     ) -> None:
         """Take in one report of a worker."""
+        if now - self.observed_at < REPORT_SECONDS:
+            return
+        self.observed_at = now
         records: dict[str, ServiceRecord] = {}
         braked: set[str] = set()
         for service in services:
@@ -90,13 +97,13 @@
         backfill: Sequence[BackfillUse],
     ) -> ServiceRecord:
         added = sum(
-            model.slope_ms(service.image, use.image) * use.used for use in backfill
+            model.slope(service.image, use.image) * use.used for use in backfill
         )
-        base = max(0.0, min(service.tail_ms, service.target_ms) - added)
+        base = log_tail(min(service.tail_ms, service.target_ms)) - added
         record = self.record_by_task.get(service.task)
         if record is None:
             record = ServiceRecord(base)
-        record.base_ms += SMOOTHING * (base - record.base_ms)
+        record.base += SMOOTHING * (base - record.base)
         is_over = service.tail_ms >= service.target_ms
         record.breaches = record.breaches + 1 if is_over else 0
         return record
@@ -108,12 +115,17 @@
         brake *= BRAKE_RATIO
         return brake if brake >= MIN_BRAKE else 0.0
 
-    def budget_ms(self, model: InterferenceModel, service: ServiceUse) -> float:
-        """Return how much latency backfill may add to a service."""
-        typical = model.base_ms(service.image)
+    def budget(self, model: InterferenceModel, service: ServiceUse) -> float:
+        """Return how much backfill may add to the logarithm of a service's tail."""
+        typical = model.base(service.image)
         record = self.record_by_task.get(service.task)
-        base = (record.base_ms + typical) / 2 if record else typical
-        return max(0.0, GOAL_RATIO * service.target_ms - base)
+        base = (record.base + typical) / 2 if record else typical
+        return max(0.0, log_tail(GOAL_RATIO * service.target_ms) - base)
+
+    @property
+    def has_breach(self) -> bool:
+        """Return whether a service was over its target in the last report."""
+        return any(record.breaches for record in self.record_by_task.values())
 
     def speeds(
         self,
@@ -124,8 +136,8 @@
         """Return the speed of each backfill image, from 0 to 1."""
         speed_by_image = {use.image: 1.0 for use in backfill}
         for service in services:
-            pressing = _pressing(model, service, backfill, MIN_SLOPE_TARGETS)
-            budget = self.budget_ms(model, service)
+            pressing = _pressing(model, service, backfill, MIN_SLOPE)
+            budget = self.budget(model, service)
             # The images that disturb least for the processors they use come first.
             for slope, use in pressing:
                 added = slope * use.demand
@@ -142,12 +154,11 @@
     model: InterferenceModel,
     service: ServiceUse,
     backfill: Sequence[BackfillUse],
-    min_slope_targets: float,
+    min_slope: float,
 ) -> list[tuple[float, BackfillUse]]:
     """Return the images that slow a service down, and by how much, least first."""
-    least = min_slope_targets * service.target_ms
-    pairs = [(model.slope_ms(service.image, use.image), use) for use in backfill]
-    return sorted(pair for pair in pairs if pair[0] >= least)
+    pairs = [(model.slope(service.image, use.image), use) for use in backfill]
+    return sorted(pair for pair in pairs if pair[0] >= min_slope)
 
 
 def _images_to_brake(
@@ -164,7 +175,7 @@
     if breaches >= BREACHES_BEFORE_BRAKING_ALL:
         return {use.image for use in backfill}
     if breaches >= BREACHES_BEFORE_BRAKE:
-        suspects = _pressing(model, service, backfill, SUSPECT_SLOPE_TARGETS)
+        suspects = _pressing(model, service, backfill, SUSPECT_SLOPE)
         return {use.image for _, use in suspects}
     return set()
 
