--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -39,6 +39,7 @@
 from savorydale.ownership.lease import SchedulerLease
 from savorydale.placement.choice import Candidate, PlacementContext, choose_worker
 from savorydale.placement.colocation import Colocation
+from savorydale.placement.headroom import ShortTaskDemand
 from savorydale.queueing.order import rank_step
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore, RowWrite, StoredRow
@@ -95,6 +96,7 @@
         self._counters = counters
         self._read_configuration = read_configuration
         self._colocation = Colocation()
+        self._short_tasks = ShortTaskDemand()
         self._suspicion_by_worker: dict[str, tuple[float, float]] = {}
         self._starts: list[PendingStart] = []
         self._extra_writes: dict[str, RowWrite] = {}
@@ -412,6 +414,7 @@
         waiting = [entry for entry in waiting if entry[1]]
         if not waiting:
             return
+        self._observe_short_tasks(waiting, now)
         waiting.sort(key=lambda entry: rank_step(entry[0], now))
         candidates_by_service: dict[str, list[Candidate]] = {}
         for step, tasks in waiting:
@@ -420,6 +423,19 @@
                 candidates_by_service[service] = self._candidates(service, now)
             self._place(step, tasks, candidates_by_service[service], now)
 
+    def _observe_short_tasks(
+        self, waiting: list[tuple[StepProgress, list[Task]]], now: float
+    ) -> None:
+        running = sum(
+            link.load.short_millicores for link in self.link_by_worker.values()
+        )
+        asked = sum(
+            step.spec.cpu_millicores * len(tasks)
+            for step, tasks in waiting
+            if not step.spec.long_running and not step.spec.backfill
+        )
+        self._short_tasks.observe(running + asked, now)
+
     def _service_of(self, queue: QueueSettings) -> str:
         """Return the service that the configuration in force names for a queue."""
         configuration = self._read_configuration()
@@ -456,6 +472,7 @@
             self._speeds(step, candidates),
             self._likenesses(step, candidates),
             now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
+            self._short_tasks.room_per_worker(len(candidates)),
         )
         if step.spec.gang and len(tasks) < step.open_count:
             return  # members of the last run are still ending
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -74,6 +74,11 @@
         self.memory_mb += sign * spec.memory_mb
         self.accelerators += sign * spec.accelerators
 
+    @property
+    def short_millicores(self) -> int:
+        """Return what tasks reserve that are neither services nor backfill."""
+        return self.cpu_millicores - self.service_millicores
+
     def change_speed(self, run: Run, percent: int) -> None:
         """Count a backfill run at a new speed."""
         change = max(0, percent) - max(0, run.wanted_percent)
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -42,13 +42,15 @@
     ``count_by_worker`` counts the step's tasks on each worker. ``speed_by_worker`` is
     the speed at which services let the step's backfill work; empty for other steps.
     ``likeness_by_worker`` is how alike the services there answer to backfill.
-    ``waited_seconds`` is how long the task has waited.
+    ``waited_seconds`` is how long the task has waited. ``service_headroom`` is what a
+    service should leave free on its worker for short tasks, in millicores.
     """
 
     count_by_worker: Counter[str]
     speed_by_worker: dict[str, float]
     likeness_by_worker: dict[str, float]
     waited_seconds: float
+    service_headroom: float = 0.0
 
 
 def unused_millicores(load: WorkerLoad) -> float:
@@ -95,12 +97,21 @@
     held = context.count_by_worker.get(candidate.worker, 0)
     if spec.max_per_worker and held >= spec.max_per_worker:
         return False
+    if spec.long_running:
+        return _leaves_headroom(spec, candidate.load, context.service_headroom)
     if not spec.backfill:
         return True
     speed = _backfill_speed(spec, candidate, context)
     return speed >= least_speed(context.waited_seconds)
 
 
+def _leaves_headroom(spec: StepSpec, load: WorkerLoad, headroom: float) -> bool:
+    """Return whether a service leaves room; it never asks for twice its own size."""
+    free = load.capacity.cpu_millicores - load.cpu_millicores + load.short_millicores
+    kept = min(headroom, spec.cpu_millicores - 1)
+    return free >= spec.cpu_millicores + kept
+
+
 def _backfill_speed(
     spec: StepSpec, candidate: Candidate, context: PlacementContext
 ) -> float:
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -52,9 +52,6 @@
         pace = self._pace_of(link.worker)
         services = _services_on(link)
         backfill = _backfill_on(link)
-        shares = {use.image: use.used for use in backfill}
-        for service in services:
-            self.model.observe(service.image, shares, service.tail_ms)
         now = asyncio.get_running_loop().time()
         pace.observe(self.model, services, backfill, now)
         return self.pace_changes(link)
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -79,7 +79,7 @@
             fit.fit()
 
     def slope(self, service_image: str, backfill_image: str) -> float:
-        """Return what backfill on all of a worker's processors adds to the logarithm."""
+        """Return what backfill on a whole worker adds to the logarithm."""
         fit = self._fit_by_image.get(service_image)
         return fit.coefficients.get(backfill_image, 0.0) if fit else 0.0
 
--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -23,7 +23,9 @@
 BREACHES_BEFORE_BRAKING_ALL = 4
 SUSPECT_SLOPE = 1.0  # below, an image is not blamed for a breach
 SMOOTHING = 0.25  # weight of the newest report in a service's base latency
-MIN_SLOPE = 2.0  # below, backfill of an image is not slowed for a service
+SHARE_SMOOTHING = 0.5  # weight of the newest report in what an image used
+LEAST_SHARE = 0.001
+MIN_SLOPE = 2.5  # below, backfill of an image is not slowed for a service
 EPSILON = 1e-9
 
 
@@ -65,6 +67,7 @@
 
     record_by_task: dict[str, ServiceRecord] = dataclasses.field(default_factory=dict)
     brake_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+    share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     observed_at: float = -math.inf
 
     def observe(
@@ -73,15 +76,16 @@
         services: Sequence[ServiceUse],
         backfill: Sequence[BackfillUse],
         now: float,
-    ) -> None:
-        """Take in one report of a worker."""
+    ) -> bool:
+        """Take in one report of a worker; return whether it is a new one."""
         if now - self.observed_at < REPORT_SECONDS:
-            return
+            return False
         self.observed_at = now
+        self._smooth_shares(backfill)
         records: dict[str, ServiceRecord] = {}
         braked: set[str] = set()
         for service in services:
-            record = self._observe_service(model, service, backfill)
+            record = self._observe_service(model, service)
             records[service.task] = record
             braked |= _images_to_brake(model, service, backfill, record.breaches)
         self.record_by_task = records
@@ -89,15 +93,25 @@
             use.image: self._next_brake(use.image, use.image in braked)
             for use in backfill
         }
+        return True
+
+    def _smooth_shares(self, backfill: Sequence[BackfillUse]) -> None:
+        """Average what each image used as slowly as tail latencies are averaged."""
+        used = {use.image: use.used for use in backfill}
+        for image in used.keys() | self.share_by_image.keys():
+            share = self.share_by_image.get(image, 0.0)
+            share += SHARE_SMOOTHING * (used.get(image, 0.0) - share)
+            self.share_by_image[image] = share
+            if image not in used and share < LEAST_SHARE:
+                del self.share_by_image[image]
 
     def _observe_service(
-        self,
-        model: InterferenceModel,
-        service: ServiceUse,
-        backfill: Sequence[BackfillUse],
+        self, model: InterferenceModel, service: ServiceUse
     ) -> ServiceRecord:
+        model.observe(service.image, self.share_by_image, service.tail_ms)
         added = sum(
-            model.slope(service.image, use.image) * use.used for use in backfill
+            model.slope(service.image, image) * share
+            for image, share in self.share_by_image.items()
         )
         base = log_tail(min(service.tail_ms, service.target_ms)) - added
         record = self.record_by_task.get(service.task)
