Empty leaving workers, and leave those that fail or stand still

Cause: no code moved services off a draining worker or looked at progress. Ruled out: waiting for the lease of a worker that left (7 s and more of a service away). Change: services and checkpointed tasks leave a draining worker; tasks without progress start elsewhere and their worker rests; two jobs failing in a row quarantine a worker. Before: the tests of the virtual branch for these failed.

--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -28,7 +28,6 @@
 )
 from savorydale.orders.interface import (
     EndedRun,
-    EndReason,
     Resources,
     WorkerInfo,
     WorkerOrders,
@@ -39,7 +38,9 @@
 from savorydale.ownership.lease import SchedulerLease
 from savorydale.placement.choice import Candidate, PlacementContext, choose_worker
 from savorydale.placement.colocation import Colocation
+from savorydale.placement.draining import must_leave
 from savorydale.placement.headroom import ShortTaskDemand
+from savorydale.placement.health import WorkerHealth, find_stalled_runs
 from savorydale.queueing.order import rank_step
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore, RowWrite, StoredRow
@@ -50,8 +51,6 @@
 SUMMARY_SECONDS = 1.0
 RETENTION_MARGIN_SECONDS = 30.0
 TICK_SECONDS = 0.1
-SUSPICION_PER_FAILURE = 0.5
-SUSPICION_HALF_LIFE_SECONDS = 5.0
 MILLISECONDS = 1000
 NO_ROOM = Resources(0, 0, 0)
 
@@ -97,7 +96,7 @@
         self._read_configuration = read_configuration
         self._colocation = Colocation()
         self._short_tasks = ShortTaskDemand()
-        self._suspicion_by_worker: dict[str, tuple[float, float]] = {}
+        self._health_by_worker: dict[str, WorkerHealth] = {}
         self._starts: list[PendingStart] = []
         self._extra_writes: dict[str, RowWrite] = {}
         self._ended: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -217,7 +216,7 @@
                 "worker state changed",
                 extra={"worker": info.worker, "draining": info.is_draining},
             )
-        link.info = info
+        link.update(info)
 
     def _restore_link(self, worker: str, runs: list[Run]) -> None:
         info = self._info_by_worker.get(worker)
@@ -259,10 +258,12 @@
                 "effect": effect,
             },
         )
-        if end.reason is EndReason.FAILED:
-            self._suspect(link.worker, now)
-        elif end.reason is EndReason.DONE:
-            self._suspicion_by_worker.pop(link.worker, None)
+        if self._health_of(link.worker).on_end(end, now):
+            self._counters.increment("worker.quarantined")
+            log.warning(
+                "worker is quarantined",
+                extra={"worker": link.worker, "reason": "tasks of several jobs failed"},
+            )
         job = self.ledger.job_by_id.get(end.task.job)
         if job is not None:
             self._settle_job(job, effect)
@@ -310,13 +311,22 @@
         for run, percent in self._colocation.on_report(link):
             link.throttle(run, percent)
 
-    def _suspect(self, worker: str, now: float) -> None:
-        level = self._suspicion(worker, now) + SUSPICION_PER_FAILURE
-        self._suspicion_by_worker[worker] = (level, now)
+    def _health_of(self, worker: str) -> WorkerHealth:
+        return self._health_by_worker.setdefault(worker, WorkerHealth())
 
-    def _suspicion(self, worker: str, now: float) -> float:
-        level, at = self._suspicion_by_worker.get(worker, (0.0, now))
-        return level * 0.5 ** ((now - at) / SUSPICION_HALF_LIFE_SECONDS)
+    def _leave_stalled_workers(self) -> None:
+        """Start elsewhere what stands still, and give its worker a rest."""
+        now = asyncio.get_running_loop().time()
+        for link in self.link_by_worker.values():
+            if not link.is_in_contact(now):
+                continue
+            stalled = find_stalled_runs(list(link.run_by_task.values()), now)
+            if not stalled:
+                continue
+            if self._health_of(link.worker).on_stall(now):
+                self._counters.increment("worker.stalled")
+            for run in stalled:
+                self._move(link, run, "the run makes no progress")
 
     # Jobs
 
@@ -448,14 +458,16 @@
             info = link.info
             if info.service != service or info.is_draining or not link.is_registered:
                 continue
-            if not link.is_in_contact(now) or now < link.refused_until:
+            if not link.is_in_contact(now):
+                continue
+            if self._health_of(link.worker).is_quarantined(now):
                 continue
             candidates.append(
                 Candidate(
                     link.worker,
                     info.labels,
                     link.load,
-                    self._suspicion(link.worker, now),
+                    self._health_of(link.worker).suspicion_now(now),
                 )
             )
         return candidates
@@ -563,6 +575,8 @@
                 self._remove_old_states()
                 self._colocation.model.fit()
             self._move_stuck_runs()
+            self._empty_leaving_workers()
+            self._leave_stalled_workers()
             self.wake()  # room, time and contact may have changed
 
     def _move_stuck_runs(self) -> None:
@@ -573,18 +587,33 @@
             if not link.info.is_draining and link.is_registered
         ]
         for link, run in self._colocation.choose_moves(links, now):
-            log.info(
-                "run is moved",
-                extra={
-                    "job": run.task.job,
-                    "task": str(run.task),
-                    "run": run.number,
-                    "worker": link.worker,
-                    "reason": "backfill cannot work beside the services there",
-                },
-            )
-            self._counters.increment("run.moved")
-            link.stop(run)
+            self._move(link, run, "backfill cannot work beside the services there")
+
+    def _empty_leaving_workers(self) -> None:
+        """Stop what must leave workers that are about to go."""
+        now = asyncio.get_running_loop().time()
+        for link in self.link_by_worker.values():
+            if not link.info.is_draining or not link.run_by_task:
+                continue
+            candidates = self._candidates(link.info.service, now)
+            for run in list(link.run_by_task.values()):
+                has_place = any(other.load.fits(run.spec) for other in candidates)
+                if must_leave(run, link.seconds_left(now), now, has_place):
+                    self._move(link, run, "the worker is leaving")
+
+    def _move(self, link: WorkerLink, run: Run, reason: str) -> None:
+        log.info(
+            "run is moved",
+            extra={
+                "job": run.task.job,
+                "task": str(run.task),
+                "run": run.number,
+                "worker": link.worker,
+                "reason": reason,
+            },
+        )
+        self._counters.increment("run.moved")
+        link.stop(run)
 
     def _summarize(self) -> None:
         configuration = self._read_configuration()
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -25,7 +25,8 @@
 
     ``settling_token`` is the fencing token from which on a list that lacks an unknown
     run proves that the run does not exist and never will. ``confirmed_at``,
-    ``stop_sent_at``, ``assigned_at`` and ``stuck_since`` are on the loop's clock.
+    ``stop_sent_at``, ``assigned_at``, ``stuck_since``, ``progressed_at`` and
+    ``paced_at`` are on the loop's clock.
     """
 
     task: TaskId
@@ -38,10 +39,21 @@
     stop_wanted: bool = False
     stop_sent_at: float = 0.0
     progress_percent: float = 0.0
+    first_progress_percent: float | None = None
+    progressed_at: float = 0.0
+    paced_at: float = 0.0
     wanted_percent: int = FULL_SPEED_PERCENT
     usage: float = 0.0
     stuck_since: float = 0.0
 
+    def note_progress(self, percent: float, now: float) -> None:
+        """Take in how much of the work is done."""
+        if self.first_progress_percent is None:
+            self.first_progress_percent = percent
+        if percent != self.progress_percent:
+            self.progressed_at = now
+        self.progress_percent = percent
+
 
 class WorkerLoad:
     """What the runs on one worker take of its capacity.
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -79,7 +79,6 @@
         self.contact_at: float | None = None
         self.is_registered = True
         self.is_closed = False
-        self.refused_until = 0.0
         self.born_ms: int | None = None
         self._orders = orders
         self._listener = listener
@@ -90,6 +89,7 @@
         self._clock_at = 0.0
         self._lease_end_ms = 0
         self._created_at = asyncio.get_running_loop().time()
+        self._info_at = self._created_at
         self._slots = asyncio.Semaphore(CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._asks_at_once = True
@@ -101,6 +101,17 @@
         """Return the worker's identifier."""
         return self.info.worker
 
+    def update(self, info: WorkerInfo) -> None:
+        """Take in what the worker says of itself."""
+        self.info = info
+        self._info_at = asyncio.get_running_loop().time()
+
+    def seconds_left(self, now: float) -> float | None:
+        """Return how long a leaving worker surely stays, if it says so."""
+        if self.info.remaining_ms is None:
+            return None
+        return self.info.remaining_ms / MILLISECONDS - (now - self._info_at)
+
     def is_in_contact(self, now: float) -> bool:
         """Return whether the worker has answered lately."""
         return self.contact_at is not None and now - self.contact_at < CONTACT_SECONDS
@@ -135,6 +146,7 @@
     def throttle(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed."""
         self.load.change_speed(run, percent)
+        run.paced_at = asyncio.get_running_loop().time()
         self._spawn(self._throttle(run, percent))
 
     # Time
@@ -265,7 +277,7 @@
     ) -> None:
         if active is not None and active.run == run.number:
             self._confirm(run)
-            run.progress_percent = active.progress_percent
+            run.note_progress(active.progress_percent, self.contact_at or 0.0)
             run.usage = active.usage
             if run.stop_wanted:
                 self._send_stop(run)
--- a/savorydale/tests/branch_tests.py
+++ b/savorydale/tests/branch_tests.py
@@ -227,3 +227,40 @@
         await asyncio.sleep(4)
         branch.register("w0")
         await branch.wait_for_status(other, JOB, JobStatus.COMPLETED, 15)
+
+
+@on_virtual_time
+async def test_services_leave_a_worker_that_drains():
+    async with open_branch(forever, workers=2) as branch:
+        await branch.submit("e0", JOB, StepSpec(1, 500, 100, long_running=True))
+        await branch.wait_until(lambda: branch.violations.starts.total() == 1, 3)
+        held = next(n for n, w in branch.worker_by_name.items() if w.run_by_task)
+        branch.register(held, state="draining")
+        await branch.wait_until(lambda: branch.violations.starts.total() == 2, 2)
+        assert not branch.worker_by_name[held].run_by_task
+
+
+@on_virtual_time
+async def test_no_task_starts_on_a_worker_that_drains():
+    async with open_branch(workers=1) as branch:
+        branch.register("w0", state="draining")
+        await asyncio.sleep(1)
+        await branch.submit("e0", JOB, STEP)
+        await asyncio.sleep(5)
+        assert branch.violations.starts.total() == 0
+
+
+@on_virtual_time
+async def test_tasks_that_stand_still_start_elsewhere():
+    async with open_branch(workers=2) as branch:
+        branch.worker_by_name["w0"].is_stalled = True
+        await branch.submit("e0", JOB, StepSpec(4, 500, 100, estimate_ms=500))
+        await branch.wait_for_status("e0", JOB, JobStatus.COMPLETED, 8)
+
+
+@on_virtual_time
+async def test_long_task_is_not_taken_for_one_that_stands_still():
+    async with open_branch(lambda task, run: Plan(400)) as branch:
+        await branch.submit("e0", JOB, StepSpec(1, 500, 100, estimate_ms=60_000))
+        await asyncio.sleep(300)
+        assert branch.violations.starts.total() == 1
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -12,16 +12,18 @@
 
 STOP_SECONDS = 0.1
 MAX_ENDS = 500
+UNUSED_FACTOR = 10_000.0  # a stalled run ends long after the test
 
 
 @dataclasses.dataclass(slots=True)
 class HeldRun:
-    """One run on the worker; ``work_left`` is in seconds at full speed."""
+    """One run on the worker; ``seconds`` is its work, ``None`` for ever."""
 
     task: str
     run: int
-    work_left: float
+    seconds: float | None
     outcome: str
+    started_at: float
     percent: int = 100
     timer: asyncio.Task[None] | None = None
 
@@ -55,6 +57,7 @@
         self.on_end = on_end
         self.born = 0
         self.is_up = True
+        self.is_stalled = False
         self._begin_life()
 
     def close(self) -> None:
@@ -143,16 +146,17 @@
         if run <= self._highest_by_task.get(task, 0):
             return self._reply(409, reason="old")
         plan = self.plan(task, run)
-        held = HeldRun(task, run, plan.seconds or 0.0, plan.outcome)
+        now = asyncio.get_running_loop().time()
+        held = HeldRun(task, run, plan.seconds, plan.outcome, now)
         self.run_by_task[task] = held
         self._highest_by_task[task] = run
         self.on_start(self.worker, task, run)
         if plan.seconds is not None:
-            held.timer = asyncio.create_task(self._work(held))
+            held.timer = asyncio.create_task(self._work(held, plan.seconds))
         return self._reply(200)
 
-    async def _work(self, held: HeldRun) -> None:
-        await asyncio.sleep(held.work_left)
+    async def _work(self, held: HeldRun, seconds: float) -> None:
+        await asyncio.sleep(seconds * (UNUSED_FACTOR if self.is_stalled else 1.0))
         self._end(held, held.outcome)
 
     def _stop(self, order: JsonObject) -> Reply:
@@ -189,10 +193,19 @@
         if self.born != life:
             return Reply(421, {})
         running = [
-            [held.task, held.run, "", 100, 0] for held in self.run_by_task.values()
+            [held.task, held.run, "", self._progress(held), 0]
+            for held in self.run_by_task.values()
         ]
         return self._reply(200, running=running, ended=self._ends[:MAX_ENDS])
 
+    def _progress(self, held: HeldRun) -> int:
+        if held.seconds is None:
+            return 100
+        if self.is_stalled:
+            return 0
+        elapsed = asyncio.get_running_loop().time() - held.started_at
+        return min(99, int(100 * elapsed / held.seconds))
+
     def _extend(self, deadline_ms: int) -> None:
         capped = min(deadline_ms, self.clock_ms + self.lease_max_ms)
         self.lease_end_ms = max(self.lease_end_ms, capped)
