--- /dev/null
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -0,0 +1,89 @@
+"""What is written to the store is read back the same."""
+
+import pytest
+
+from savorydale.exceptions import RowFormatError
+from savorydale.jobs.model import (
+    Configuration,
+    JobSpec,
+    QueueSettings,
+    StepSpec,
+    TaskId,
+    find_spec_faults,
+)
+from savorydale.jobs.rows import (
+    JobRow,
+    JobStatus,
+    StateRow,
+    SummaryRow,
+    TaskRow,
+    decode_job,
+    decode_state,
+    decode_step,
+    decode_summary,
+    encode_job,
+    encode_state,
+    encode_step,
+    encode_summary,
+)
+
+QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 1.5, 250.0, True)
+
+
+def test_job_is_read_back():
+    steps = (
+        StepSpec(3, 100, 200, estimate_ms=900),
+        StepSpec(1, after=(0,), image="x", max_unavailable=0, long_running=True),
+    )
+    row = JobRow(JobSpec("text", steps, 5, 10, 2), QUEUE, 77)
+    assert decode_job(encode_job(row)) == row
+
+
+def test_progress_is_read_back():
+    rows = [TaskRow(True, 2, 1, "", "cp"), TaskRow(False, 0, 0, "", "")]
+    rows.append(TaskRow(False, 1, 0, "w1", ""))
+    assert decode_step(encode_step(rows)) == rows
+
+
+def test_state_and_summary_are_read_back():
+    state = StateRow("q", JobStatus.FAILED, 123)
+    assert decode_state(encode_state(state)) == state
+    assert decode_summary(encode_summary(SummaryRow(3, 9))) == SummaryRow(3, 9)
+
+
+@pytest.mark.parametrize(
+    "decode", [decode_job, decode_state, decode_step, decode_summary]
+)
+@pytest.mark.parametrize("value", [b"\xff", b"7", b"[1]"])
+def test_foreign_rows_are_refused(decode, value):
+    with pytest.raises(RowFormatError):
+        decode(value)
+
+
+def test_task_names():
+    task = TaskId("0123456789abcdef", 0, 1, 17)
+    assert TaskId.parse(str(task)) == task
+    with pytest.raises(RowFormatError):
+        TaskId.parse("nonsense")
+
+
+def test_the_longest_prefix_selects_the_queue():
+    short = QueueSettings("short", "h", "/a/", "desk")
+    long = QueueSettings("long", "h", "/a/b/", "desk")
+    configuration = Configuration(1, {"short": short, "long": long}, 1000)
+    assert configuration.find_queue("h", "/a/b/1") == long
+    assert configuration.find_queue("h", "/a/1") == short
+    assert configuration.find_queue("other", "/a/1") is None
+
+
+@pytest.mark.parametrize(
+    ("spec", "fault"),
+    [
+        (JobSpec("", ()), "at least one step"),
+        (JobSpec("", (StepSpec(0),)), "no tasks"),
+        (JobSpec("", (StepSpec(1, after=(0,)),)), "after earlier steps"),
+        (JobSpec("", (StepSpec(1, cpu_millicores=-1),)), "less than nothing"),
+    ],
+)
+def test_impossible_jobs_are_refused_with_a_reason(spec, fault):
+    assert any(fault in text for text in find_spec_faults(spec))
--- /dev/null
+++ b/savorydale/tests/placement/choice_tests.py
@@ -0,0 +1,115 @@
+"""The choice of a worker: hard bounds first, then room, likeness and speed."""
+
+from collections import Counter
+
+from savorydale.jobs.ledger import JobProgress
+from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.rows import JobRow, JobStatus
+from savorydale.orders.interface import Resources
+from savorydale.orders.runs import Run, WorkerLoad
+from savorydale.placement.choice import (
+    Candidate,
+    PlacementContext,
+    choose_worker,
+    least_speed,
+)
+from savorydale.placement.headroom import ShortTaskDemand
+
+QUEUE = QueueSettings("q", "h", "/q/", "desk")
+CAPACITY = Resources(8000, 16000, 0)
+
+
+def make_step(**fields):
+    spec = StepSpec(**{"task_count": 4, "cpu_millicores": 1000, **fields})
+    row = JobRow(JobSpec("", (spec,)), QUEUE, 0)
+    return JobProgress("j", row, JobStatus.QUEUED, 0.0).steps_of(0)[0]
+
+
+def make_candidate(worker, labels=("a", "r1"), used=0, suspicion=0.0, **fields):
+    load = WorkerLoad(CAPACITY)
+    if used:
+        step = make_step(cpu_millicores=used, **fields)
+        load.add(Run(step.tasks[0].id, 1, step.spec, 0.0))
+    return Candidate(worker, labels, load, suspicion)
+
+
+def choose(step, candidates, **context):
+    fields = {
+        "count_by_worker": Counter(),
+        "speed_by_worker": {},
+        "likeness_by_worker": {},
+        "waited_seconds": 0.0,
+        **context,
+    }
+    chosen = choose_worker(step, step.tasks[0], candidates, PlacementContext(**fields))
+    return chosen.worker if chosen else None
+
+
+def test_the_worker_with_the_most_room_is_chosen():
+    candidates = [make_candidate("w1", used=3000), make_candidate("w2", used=1000)]
+    assert choose(make_step(), candidates) == "w2"
+
+
+def test_no_worker_is_chosen_beyond_its_capacity():
+    assert choose(make_step(), [make_candidate("w1", used=7500)]) is None
+    assert choose(make_step(memory_mb=20000), [make_candidate("w1")]) is None
+    assert choose(make_step(accelerators=1), [make_candidate("w1")]) is None
+
+
+def test_required_label_and_limit_per_worker_hold():
+    step = make_step(required_label="b")
+    assert choose(step, [make_candidate("w1")]) is None
+    step = make_step(max_per_worker=1)
+    counts = Counter({"w1": 1})
+    assert choose(step, [make_candidate("w1")], count_by_worker=counts) is None
+
+
+def test_the_rack_with_the_data_is_preferred():
+    candidates = [make_candidate("w1"), make_candidate("w2", ("a", "r2"), used=2000)]
+    assert choose(make_step(data_rack="r2"), candidates) == "w2"
+
+
+def test_a_worker_with_recent_failures_comes_last():
+    candidates = [make_candidate("w1", suspicion=1.0), make_candidate("w2", used=6000)]
+    assert choose(make_step(), candidates) == "w2"
+
+
+def test_a_worker_where_the_task_failed_is_taken_only_if_no_other_has_room():
+    step = make_step()
+    step.tasks[0].excluded_workers = frozenset({"w1"})
+    candidates = [make_candidate("w1"), make_candidate("w2", used=6000)]
+    assert choose(step, candidates) == "w2"
+    assert choose(step, candidates[:1]) == "w1"
+
+
+def test_like_services_are_kept_together():
+    step = make_step(long_running=True)
+    candidates = [make_candidate("w1"), make_candidate("w2", used=3000)]
+    likeness = {"w1": 0.3, "w2": 1.0}
+    assert choose(step, candidates, likeness_by_worker=likeness) == "w2"
+
+
+def test_service_leaves_headroom_but_never_twice_its_size():
+    step = make_step(cpu_millicores=3000, long_running=True)
+    candidate = make_candidate("w1", used=4000, long_running=True)
+    assert choose(step, [candidate], service_headroom=2000.0) is None
+    assert choose(step, [make_candidate("w1")], service_headroom=9000.0) == "w1"
+
+
+def test_backfill_waits_for_speed_but_not_for_ever():
+    step = make_step(backfill=True)
+    slow = {"w1": 0.1}
+    assert choose(step, [make_candidate("w1")], speed_by_worker=slow) is None
+    chosen = choose(
+        step, [make_candidate("w1")], speed_by_worker=slow, waited_seconds=10.0
+    )
+    assert chosen == "w1"
+    assert least_speed(0.0) > least_speed(2.0) > 0
+
+
+def test_headroom_follows_the_peak_and_decays():
+    demand = ShortTaskDemand()
+    demand.observe(10_000, 0.0)
+    assert demand.room_per_worker(10) > 1000
+    demand.observe(0, 60.0)
+    assert demand.room_per_worker(10) < 100
