Test the adapter's translations

Change: each wire form of store, workers, registrations, configuration and jobs is decoded in a test, malformed ones too. Before: no test.

--- /dev/null
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -0,0 +1,256 @@
+"""The adapter's translations: each wire form in, each typed outcome out."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from savorydale.counters import Counters
+from savorydale.exceptions import (
+    HistoryLostError,
+    RowFormatError,
+    StoreUnreachableError,
+)
+from savorydale.jobs.model import TaskId
+from savorydale.orders.interface import (
+    Accepted,
+    EndReason,
+    Held,
+    HoldOrder,
+    RefusalReason,
+    Refused,
+    StartOrder,
+    Unanswered,
+    WorkerTarget,
+)
+from savorydale.platform.discovery import (
+    ConfigurationFollower,
+    WorkerRegistry,
+    decode_configuration,
+    decode_worker,
+)
+from savorydale.platform.frontend import decode_job_request
+from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
+from savorydale.platform.store import PlatformStore
+from savorydale.platform.workers import PlatformWorkers
+from savorydale.storage.rows import (
+    Committed,
+    Conflict,
+    NotDone,
+    OutcomeUnknown,
+    RowCondition,
+    RowKey,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+
+NAME = RowKey("t", "k")
+TRANSACTION = RowTransaction((RowCondition(NAME, 3),), (RowWrite(NAME, b"v"),))
+TARGET = WorkerTarget("i-1", "10.0.0.1:80", 7)
+TASK = TaskId("0123456789abcdef", 0, 1, 2)
+
+
+class ScriptedHttp:
+    """Gives scripted answers and keeps what was sent."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.sent = []
+
+    async def send(self, method, url, timeout, body=None, headers=None, params=None):
+        self.sent.append((method, url, body, headers, params))
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def make_store(*replies):
+    return PlatformStore(ScriptedHttp(*replies), "10.0.0.9:80")
+
+
+def make_workers(*replies):
+    http = ScriptedHttp(*replies)
+    return PlatformWorkers(http, Counters()), http
+
+
+def shown(key, value=b"v", version=4):
+    encoded = base64.b64encode(value).decode()
+    return {"table": "t", "part": "", "key": key, "value": encoded, "ver": version}
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (HttpReply(200, {"ver": 9}), Committed(9)),
+        (
+            HttpReply(412, {"rows": [shown("k")]}),
+            Conflict({NAME: StoredRow(NAME, b"v", 4)}),
+        ),
+        (NotSentError("x"), NotDone("x")),
+        (NoReplyError("x"), OutcomeUnknown("x")),
+        (HttpReply(500, None), OutcomeUnknown("status 500")),
+    ],
+)
+def test_outcomes_of_a_transaction(reply, outcome):
+    result = asyncio.run(make_store(reply).transact(TRANSACTION, 1.0))
+    assert result == outcome
+
+
+@pytest.mark.parametrize("status", [429, 503, 400])
+def test_refused_transactions_did_nothing(status):
+    reply = HttpReply(status, {})
+    result = asyncio.run(make_store(reply).transact(TRANSACTION, 1.0))
+    assert isinstance(result, NotDone)
+
+
+def test_long_ranges_are_read_page_by_page():
+    first = HttpReply(200, {"rows": [shown("a")], "hasMore": True, "ver": 5})
+    last = HttpReply(200, {"rows": [shown("b")], "hasMore": False, "ver": 6})
+    page = asyncio.run(make_store(first, last).read_range("t", timeout_seconds=1.0))
+    assert [row.name.key for row in page.rows] == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    ("reply", "error"),
+    [
+        (HttpReply(410, {}), HistoryLostError),
+        (HttpReply(503, {}), StoreUnreachableError),
+        (HttpReply(200, {"rows": [{"no": 1}]}), StoreUnreachableError),
+        (NoReplyError("x"), StoreUnreachableError),
+    ],
+)
+def test_reads_that_fail_raise(reply, error):
+    with pytest.raises(error):
+        asyncio.run(make_store(reply).read_changes("t", 1, 0.1))
+
+
+def test_hold_decodes_both_lists():
+    body = {
+        "clockMs": 100,
+        "born": 7,
+        "running": [[str(TASK), 2, "cp", 41, 9], [str(TASK), 3, None, 0]],
+        "ended": [[5, str(TASK), 1, "lapsed", ""]],
+    }
+    workers, http = make_workers(HttpReply(200, body))
+    held = asyncio.run(workers.hold(TARGET, HoldOrder(4, 900, 500)))
+    assert isinstance(held, Held)
+    assert held.active[0].progress_percent == 41
+    assert held.active[0].usage == 9
+    assert held.active[1].usage == 0
+    assert held.ended[0].reason is EndReason.LEASE_LAPSED
+    sent = http.sent[0][2]
+    assert sent == {"ackCursor": 4, "waitMs": 500, "deadlineMs": 900, "fenceToken": 7}
+
+
+def test_list_of_another_shape_counts_as_unanswered():
+    workers, _ = make_workers(HttpReply(200, {"running": "?"}))
+    outcome = asyncio.run(workers.hold(TARGET, HoldOrder(0, None, 0)))
+    assert isinstance(outcome, Unanswered)
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (HttpReply(200, {"clockMs": 5}), Accepted(5)),
+        (HttpReply(409, {"reason": "fence"}), Refused(RefusalReason.FENCED)),
+        (HttpReply(409, {"reason": "new"}), Refused(RefusalReason.NOT_UNDERSTOOD)),
+        (HttpReply(503, {}), Refused(RefusalReason.UNHEALTHY, "status 503")),
+        (HttpReply(421, {}), Refused(RefusalReason.OTHER_INCARNATION, "status 421")),
+        (NotSentError("x"), Refused(RefusalReason.UNREACHABLE, "x")),
+        (NoReplyError("x"), Unanswered("x")),
+        (HttpReply(500, {}), Unanswered("status 500")),
+    ],
+)
+def test_outcomes_of_a_start(reply, outcome):
+    workers, _ = make_workers(reply)
+    order = StartOrder(TASK, 1, "text", 900, "")
+    assert asyncio.run(workers.start(TARGET, order)) == outcome
+
+
+def worker_row(**changes):
+    row = {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 8000, "memMb": 100, "gpu": 0},
+        "labels": ["a", "r1"],
+        "born": 5,
+        **changes,
+    }
+    return json.dumps({k: v for k, v in row.items() if v is not None}).encode()
+
+
+def test_worker_is_decoded():
+    info = decode_worker("i-1", worker_row(state="draining", remainingMs=900))
+    assert info.is_draining
+    assert info.remaining_ms == 900
+    assert info.capacity.cpu_millicores == 8000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        worker_row(state="odd"),
+        worker_row(address=7),
+        worker_row(capacity=None),
+        worker_row(service=None),
+    ],
+)
+def test_foreign_registrations_are_skipped_and_counted(value):
+    with pytest.raises(RowFormatError):
+        decode_worker("i-1", value)
+    counters = Counters()
+    seen = []
+    registry = WorkerRegistry(seen.append, counters)
+    good = StoredRow(RowKey("servers", "i-2"), worker_row(), 1)
+    registry.replace_all((StoredRow(RowKey("servers", "i-1"), value, 1), good), 1)
+    assert list(seen[-1]) == ["i-2"]
+    assert counters.count("registration.unreadable") == 1
+
+
+def config_row(version, name="q"):
+    route = {"name": name, "host": "H.example", "pathPrefix": "/q/", "service": "desk"}
+    value = json.dumps({"version": version, "routes": [route]}).encode()
+    return StoredRow(RowKey("op", "config"), value, version)
+
+
+def test_configuration_never_goes_back():
+    seen = []
+    follower = ConfigurationFollower(seen.append, lambda: None)
+    follower.replace_all((config_row(3),), 3)
+    follower.apply((config_row(2),), 4)
+    follower.apply((config_row(9),), 5)
+    assert [configuration.version for configuration in seen] == [3, 9]
+
+
+def test_host_of_a_queue_has_no_case():
+    configuration = decode_configuration(config_row(1).value or b"")
+    assert configuration.find_queue("h.example", "/q/1") is not None
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"[]", b'{"spec":1,"steps":[]}', b'{"spec":"x"}', b'{"steps":[1]}']
+)
+def test_unreadable_jobs_are_refused(raw):
+    with pytest.raises(RowFormatError):
+        decode_job_request(raw)
+
+
+def test_spec_over_the_limit_is_refused():
+    raw = json.dumps({"spec": "x" * 4001, "steps": [{"count": 1}]}).encode()
+    with pytest.raises(RowFormatError):
+        decode_job_request(raw)
+
+
+def test_step_is_decoded():
+    step = {"count": 2, "cpu": 5, "fills": True, "image": "a", "antiAffinity": 1}
+    spec = decode_job_request(json.dumps({"spec": "x", "steps": [step]}).encode())
+    assert spec.steps[0].backfill
+    assert spec.steps[0].max_per_worker == 1
+    assert spec.steps[0].max_unavailable is None
