Explain a job from the logs of several processes

Cause: on-call engineers have only logs, from VMs whose clocks differ and jump. Change: each line names its VM; each process logs how its time of day compares to the store's clock; 'savorydale explain ID' orders a job's lines by that clock, with what happened to its workers and the lease. Before: no way but reading.

--- a/savorydale/__main__.py
+++ b/savorydale/__main__.py
@@ -65,6 +65,31 @@
         return serve_jobs(pathlib.Path(path))
 
 
+class ExplainCommand(BaseCommand):
+    """savorydale explain."""
+
+    name = "explain"
+    description = "Print the story of a job from the logs of several processes."
+    arguments = [
+        argument("job", "The job's ID."),
+        argument("logs", "Log files; standard input if none.", True, True),
+    ]
+    help = "Example: savorydale explain 5c0e7a21d94b36f8 entry-1.log entry-2.log"
+
+    def run_command(self) -> int:
+        """Print the story, oldest event first."""
+        from savorydale.commands.explain import explain
+
+        paths = [pathlib.Path(path) for path in self.argument("logs") or []]
+        story = explain(paths, sys.stdin, self.argument("job"))
+        if not story:
+            self.line_error("No line of these logs names the job.")
+            return ExitCode.FAILED
+        for text in story:
+            self.line(text)
+        return ExitCode.OK
+
+
 class CheckCommand(BaseCommand):
     """savorydale check."""
 
@@ -329,6 +354,7 @@
 COMMANDS = (
     ServeCommand,
     ServeJobsCommand,
+    ExplainCommand,
     CheckCommand,
     PlanCommand,
     ApplyCommand,
--- a/savorydale/commands/serve_jobs.py
+++ b/savorydale/commands/serve_jobs.py
@@ -22,7 +22,7 @@
     """Run the process whose settings file is at ``path``."""
     config = load_vm_config(path)
     counters = Counters()
-    with json_logs(config["logging"]["level"], counters):
+    with json_logs(config["logging"]["level"], config["vm"]["name"], counters):
         asyncio.run(_serve(config, path, counters))
     return ExitCode.OK
 
--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import time
 from collections.abc import AsyncIterator
 
 from aiohttp import web
@@ -38,6 +39,9 @@
 SHUTDOWN_SECONDS = 2.0
 LAME_DUCK_SECONDS = 2.5  # the balancer notices after two missed checks, 1 s apart
 LAME_DUCK_SHARE = 0.4  # of the time that a stopping process has
+CLOCK_LOG_SECONDS = 30.0
+CLOCK_JUMP_MS = 250.0
+MILLISECONDS = 1000
 HEAD_START_SECONDS = 0.1  # for a VM with one whole core; longer for smaller ones
 MAX_HEAD_START_SECONDS = 0.6
 
@@ -57,6 +61,8 @@
         self._orders: WorkerOrders = PlatformWorkers(http, counters)
         self._configuration: Configuration | None = None
         self._store_contact_at = 0.0
+        self._clock_offset_ms = 0.0
+        self._clock_logged_at = 0.0
         self._is_stopping = False
         self._scheduler: JobScheduler | None = None
         self._lease: SchedulerLease | None = None
@@ -78,7 +84,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then finish what is under way."""
         async with self._servers():
-            log.info("entry serves", extra={"vm": self._identity.vm})
+            log.info("entry serves")
             await self.work(stop)
 
     async def work(self, stop: asyncio.Event) -> None:
@@ -87,7 +93,7 @@
             following = group.create_task(self._follow_configuration())
             scheduling = group.create_task(self._schedule_in_turn())
             await stop.wait()
-            log.info("entry stops", extra={"vm": self._identity.vm})
+            log.info("entry stops")
             self._is_stopping = True
             scheduling.cancel()
             await asyncio.wait([scheduling])
@@ -139,8 +145,19 @@
             },
         )
 
-    def _note_contact(self) -> None:
-        self._store_contact_at = asyncio.get_running_loop().time()
+    def _note_contact(self, store_ms: int) -> None:
+        """Note that the store answers; log how this VM's time of day compares to it.
+
+        The comparison lets logs of several VMs be put in order afterwards.
+        """
+        now = asyncio.get_running_loop().time()
+        self._store_contact_at = now
+        offset = time.time() * MILLISECONDS - store_ms
+        has_jumped = abs(offset - self._clock_offset_ms) > CLOCK_JUMP_MS
+        if has_jumped or now - self._clock_logged_at >= CLOCK_LOG_SECONDS:
+            self._clock_offset_ms = offset
+            self._clock_logged_at = now
+            log.info("clock compared", extra={"store_ms": store_ms})
 
     # Scheduling
 
--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -680,5 +680,5 @@
                     "job row is skipped", extra={"key": key, "reason": str(error)}
                 )
 
-    def confirm(self) -> None:
+    def confirm(self, store_ms: int) -> None:
         """Do nothing; jobs have no time limit that depends on the feed."""
--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -56,7 +56,7 @@
                 )
         self._on_change(dict(self._info_by_worker))
 
-    def confirm(self) -> None:
+    def confirm(self, store_ms: int) -> None:
         """Do nothing; a registration has no age."""
 
 
@@ -66,7 +66,7 @@
     def __init__(
         self,
         on_change: Callable[[Configuration], None],
-        on_contact: Callable[[], None],
+        on_contact: Callable[[int], None],
     ):
         self._on_change = on_change
         self._on_contact = on_contact
@@ -90,9 +90,9 @@
                 self._version = configuration.version
                 self._on_change(configuration)
 
-    def confirm(self) -> None:
+    def confirm(self, store_ms: int) -> None:
         """Note that the store was in reach."""
-        self._on_contact()
+        self._on_contact(store_ms)
 
 
 def decode_worker(worker: str, value: bytes) -> WorkerInfo:
--- a/savorydale/storage/follow.py
+++ b/savorydale/storage/follow.py
@@ -22,8 +22,8 @@
     def apply(self, rows: tuple[StoredRow, ...], version: int) -> None:
         """Take in rows that were changed or deleted."""
 
-    def confirm(self) -> None:
-        """Note that the store answered, whether or not rows changed."""
+    def confirm(self, store_ms: int) -> None:
+        """Note that the store answered, and its steady clock, with or without rows."""
 
 
 async def follow_table(
@@ -66,10 +66,10 @@
     if version is None:
         page = await store.read_range(table, timeout_seconds=SNAPSHOT_TIMEOUT_SECONDS)
         listener.replace_all(page.rows, page.version)
-        listener.confirm()
+        listener.confirm(page.now_ms)
         return page.version
     page = await store.read_changes(table, version, wait_seconds)
     if page.rows:
         listener.apply(page.rows, page.version)
-    listener.confirm()
+    listener.confirm(page.now_ms)
     return page.version
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -222,7 +222,7 @@
 
 def test_configuration_never_goes_back():
     seen = []
-    follower = ConfigurationFollower(seen.append, lambda: None)
+    follower = ConfigurationFollower(seen.append, lambda store_ms: None)
     follower.replace_all((config_row(3),), 3)
     follower.apply((config_row(2),), 4)
     follower.apply((config_row(9),), 5)
--- a/savorydale/utils/json_logs.py
+++ b/savorydale/utils/json_logs.py
@@ -41,10 +41,14 @@
 
 
 @contextlib.contextmanager
-def json_logs(level: str, counters: Counters) -> Iterator[None]:
-    """Write log lines to standard output until the end of the block."""
+def json_logs(level: str, vm: str, counters: Counters) -> Iterator[None]:
+    """Write log lines of a VM to standard output until the end of the block."""
     formatter = JsonFormatter(
-        FIELDS, style="{", rename_fields=RENAMED, json_ensure_ascii=False
+        FIELDS,
+        style="{",
+        rename_fields=RENAMED,
+        static_fields={"vm": vm},
+        json_ensure_ascii=False,
     )
     formatter.default_msec_format = "%s.%03d"
     writer = logging.StreamHandler(sys.stdout)
