--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -16,15 +16,19 @@
     JOBS_TABLE,
     STATES_TABLE,
     STEPS_TABLE,
+    TAILS_TABLE,
     JobStatus,
     SummaryRow,
     cancel_key,
     decode_job,
     decode_state,
     decode_step,
+    decode_tail_fit,
     encode_summary,
+    encode_tail_fit,
     state_key,
     summary_key,
+    tail_key,
 )
 from savorydale.orders.interface import (
     EndedRun,
@@ -49,6 +53,7 @@
 LOAD_TIMEOUT_SECONDS = 2.0
 FEED_WAIT_SECONDS = 1.0
 SUMMARY_SECONDS = 1.0
+LEARNT_SECONDS = 3.0
 RETENTION_MARGIN_SECONDS = 30.0
 TICK_SECONDS = 0.1
 MILLISECONDS = 1000
@@ -146,6 +151,11 @@
         jobs = await self._store.read_range(
             JOBS_TABLE, timeout_seconds=LOAD_TIMEOUT_SECONDS
         )
+        learnt = await self._store.read_range(
+            TAILS_TABLE, timeout_seconds=LOAD_TIMEOUT_SECONDS
+        )
+        for row in learnt.rows:
+            self._load_learnt(row)
         self._store_clock_offset_ms = jobs.now_ms - loop.time() * MILLISECONDS
         status_by_job: dict[str, JobStatus] = {}
         for row in states.rows:
@@ -174,6 +184,14 @@
             },
         )
 
+    def _load_learnt(self, row: StoredRow) -> None:
+        try:
+            fit = decode_tail_fit(row.value or b"")
+        except RowFormatError as error:
+            log.warning("fit is skipped", extra={"reason": str(error)})
+            return
+        self._colocation.model.restore(row.name.key, fit)
+
     def _load_step(self, row: StoredRow) -> None:
         job_id, occurrence, number = row.name.key.split(".")
         job = self.ledger.job_by_id.get(job_id)
@@ -468,6 +486,7 @@
                     info.labels,
                     link.load,
                     self._health_of(link.worker).suspicion_now(now),
+                    self._colocation.scarcity_of(link.worker),
                 )
             )
         return candidates
@@ -566,6 +585,7 @@
 
     async def _tick_loop(self) -> None:
         summary_at = 0.0
+        learnt_at = 0.0
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(TICK_SECONDS)
@@ -573,7 +593,10 @@
                 summary_at = loop.time()
                 self._summarize()
                 self._remove_old_states()
-                self._colocation.model.fit()
+                self._colocation.refresh(list(self.link_by_worker.values()))
+            if loop.time() - learnt_at >= LEARNT_SECONDS:
+                learnt_at = loop.time()
+                self._keep_what_was_learnt()
             self._move_stuck_runs()
             self._empty_leaving_workers()
             self._leave_stalled_workers()
@@ -630,6 +653,11 @@
             value = encode_summary(SummaryRow(pending[queue], now_ms))
             self._extra_writes[str(key)] = RowWrite(key, value)
 
+    def _keep_what_was_learnt(self) -> None:
+        for image, fit in self._colocation.model.take_changed().items():
+            key = tail_key(image)
+            self._extra_writes[str(key)] = RowWrite(key, encode_tail_fit(fit))
+
     def _used_queues(self) -> set[str]:
         self._queues_seen.update(
             job.queue.name for job in self.ledger.job_by_id.values()
--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -8,6 +8,7 @@
 states      job                  queue and state, kept after the job has ended
 steps       job.occurrence.step  progress of the tasks of one step
 summaries   queue                jobs of the queue that have not begun
+tails       service image        what was learnt of its tail latency
 scheduler   ``lease``            which entry schedules; chains its transactions
 ==========  ===================  ==============================================
 """
@@ -18,14 +19,17 @@
 
 from savorydale.exceptions import RowFormatError
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.placement.interference import TailFit
 from savorydale.storage.rows import RowKey
 
 JOBS_TABLE = "jobs"
 STATES_TABLE = "states"
 STEPS_TABLE = "steps"
 SUMMARIES_TABLE = "summaries"
+TAILS_TABLE = "tails"
 SCHEDULER_TABLE = "scheduler"
 CANCEL_SUFFIX = ".cancel"
+FIT_DIGITS = 6
 LEASE_KEY = RowKey(SCHEDULER_TABLE, "lease")
 
 
@@ -202,6 +206,39 @@
         raise RowFormatError(f"a summary has the wrong form: {error!r}") from error
 
 
+def tail_key(service_image: str) -> RowKey:
+    """Return the name of the row with what was learnt of a service image."""
+    return RowKey(TAILS_TABLE, service_image)
+
+
+def encode_tail_fit(fit: TailFit) -> bytes:
+    """Return the value of a row with the fit of a service image."""
+    moments = [
+        [first, second, float(f"{value:.{FIT_DIGITS}g}")]
+        for (first, second), value in fit.moments.items()
+        if first <= second
+    ]
+    products = {
+        name: float(f"{value:.{FIT_DIGITS}g}") for name, value in fit.products.items()
+    }
+    return _dump([moments, products])
+
+
+def decode_tail_fit(value: bytes) -> TailFit:
+    """Return the fit that `encode_tail_fit` wrote."""
+    data = _load(value)
+    try:
+        moments, products = data
+        fit = TailFit()
+        for first, second, moment in moments:
+            fit.moments[first, second] = float(moment)
+            fit.moments[second, first] = float(moment)
+        fit.products.update({name: float(item) for name, item in products.items()})
+        return fit
+    except (AttributeError, TypeError, ValueError) as error:
+        raise RowFormatError(f"a fit has the wrong form: {error!r}") from error
+
+
 def _dump(data: object) -> bytes:
     return json.dumps(data, separators=(",", ":")).encode()
 
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -22,18 +22,21 @@
 FAILED_THERE_PENALTY = 3.0
 LIKENESS_BONUS = 1.0
 BACKFILL_ROOM_WEIGHT = 0.3
+SCARCITY_WEIGHT = 0.3
 
 
 class Candidate(NamedTuple):
     """One worker that may get tasks now.
 
-    ``suspicion`` grows with recent failures.
+    ``suspicion`` grows with recent failures; ``scarcity`` is how much backfill with few
+    places needs this worker.
     """
 
     worker: str
     labels: tuple[str, ...]
     load: WorkerLoad
     suspicion: float = 0.0
+    scarcity: float = 0.0
 
 
 class PlacementContext(NamedTuple):
@@ -128,6 +131,7 @@
     if spec.backfill:
         speed = _backfill_speed(spec, candidate, context)
         score = speed + BACKFILL_ROOM_WEIGHT * unused_ratio
+        score -= SCARCITY_WEIGHT * candidate.scarcity
     elif spec.long_running:
         score = LIKENESS_BONUS * context.likeness_by_worker.get(candidate.worker, 0.0)
         score += 1 - load.cpu_millicores / capacity
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -11,6 +11,7 @@
 from savorydale.placement.choice import unused_millicores
 from savorydale.placement.interference import InterferenceModel
 from savorydale.placement.pacing import (
+    MIN_SLOPE,
     BackfillUse,
     ServiceUse,
     WorkerPace,
@@ -33,10 +34,11 @@
 
 
 EMPTY_LIKENESS = 0.6  # an empty worker is better than one with unlike services
-STUCK_PERCENT = 10
+DEMAND_SMOOTHING = 0.1  # weight of the newest second in an image's demand
+STUCK_PERCENT = 30
 STUCK_SECONDS = 1.5
 MOVE_MIN_SPEED = 0.6
-MOVE_MAX_PROGRESS_PERCENT = 97.0  # later, a move costs more than it gains
+MOVE_MAX_PROGRESS_PERCENT = 90.0  # later, a move costs more than it gains
 MOVES_PER_ROUND = 4
 
 
@@ -46,6 +48,8 @@
     def __init__(self) -> None:
         self.model = InterferenceModel()
         self._pace_by_worker: dict[str, WorkerPace] = {}
+        self._demand_by_image: dict[str, float] = {}
+        self._scarcity_by_worker: dict[str, float] = {}
 
     def on_report(self, link: WorkerLink) -> list[PaceChange]:
         """Take in a worker's report and return the speeds to change."""
@@ -82,6 +86,50 @@
         backfill.append(BackfillUse(spec.image, total, 0.0))
         return pace.speeds(self.model, services, backfill)[spec.image]
 
+    def scarcity_of(self, worker: str) -> float:
+        """Return how much a worker is needed by backfill with few places, 0 to 1."""
+        return self._scarcity_by_worker.get(worker, 0.0)
+
+    def refresh(self, links: Sequence[WorkerLink]) -> None:
+        """Fit what was learnt, and find the workers that are in short supply.
+
+        An image of backfill that disturbs most services has few places; those should
+        not be taken by images that can work anywhere.
+        """
+        self.model.fit()
+        self._update_demand(links)
+        harmless = {
+            image: [link for link in links if self._is_harmless(link, image)]
+            for image in self._demand_by_image
+        }
+        need_by_worker: collections.Counter[str] = collections.Counter()
+        for image, places in harmless.items():
+            room = sum(max(0.0, unused_millicores(link.load)) for link in places)
+            for link in places:
+                need_by_worker[link.worker] += self._demand_by_image[image] / (room + 1)
+        most = max(need_by_worker.values(), default=0.0)
+        self._scarcity_by_worker = {
+            worker: need / most for worker, need in need_by_worker.items() if most > 0
+        }
+
+    def _update_demand(self, links: Sequence[WorkerLink]) -> None:
+        demand: collections.Counter[str] = collections.Counter()
+        for link in links:
+            for run in link.run_by_task.values():
+                if run.spec.backfill:
+                    demand[run.spec.image] += run.spec.cpu_millicores
+        for image in demand.keys() | self._demand_by_image.keys():
+            known = self._demand_by_image.get(image, 0.0)
+            change = DEMAND_SMOOTHING * (demand[image] - known)
+            self._demand_by_image[image] = known + change
+
+    def _is_harmless(self, link: WorkerLink, image: str) -> bool:
+        return all(
+            self.model.slope(service, image) < MIN_SLOPE
+            for service, count in link.load.services_by_image.items()
+            if count > 0
+        )
+
     def likeness_of(self, link: WorkerLink, spec: StepSpec) -> float:
         """Return how alike the services on a worker are to a step's tasks."""
         counts = link.load.services_by_image
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -62,6 +62,18 @@
 
     def __init__(self) -> None:
         self._fit_by_image: dict[str, TailFit] = {}
+        self._changed: set[str] = set()
+
+    def restore(self, service_image: str, fit: TailFit) -> None:
+        """Take over what an earlier holder of the lease has learnt."""
+        self._fit_by_image[service_image] = fit
+        fit.fit()
+
+    def take_changed(self) -> dict[str, TailFit]:
+        """Return what was learnt since the last call, by service image."""
+        changed = {image: self._fit_by_image[image] for image in self._changed}
+        self._changed.clear()
+        return changed
 
     def observe(
         self,
@@ -72,6 +84,7 @@
         """Take in a tail latency and the shares of processors beside it."""
         fit = self._fit_by_image.setdefault(service_image, TailFit())
         fit.observe(share_by_image, log_tail(tail_ms))
+        self._changed.add(service_image)
 
     def fit(self) -> None:
         """Improve all coefficients with what was observed since."""
--- a/savorydale/tests/jobs/rows_tests.py
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -21,11 +21,14 @@
     decode_state,
     decode_step,
     decode_summary,
+    decode_tail_fit,
     encode_job,
     encode_state,
     encode_step,
     encode_summary,
+    encode_tail_fit,
 )
+from savorydale.placement.interference import TailFit
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 1.5, 250.0, True)
 
@@ -87,3 +90,15 @@
 )
 def test_impossible_jobs_are_refused_with_a_reason(spec, fault):
     assert any(fault in text for text in find_spec_faults(spec))
+
+
+def test_what_was_learnt_is_read_back():
+    fit = TailFit()
+    for share in (0.0, 0.1, 0.2):
+        fit.observe({"heavy": share}, 2.0 + 8.0 * share)
+    for _ in range(50):
+        fit.fit()
+    again = decode_tail_fit(encode_tail_fit(fit))
+    for _ in range(50):
+        again.fit()
+    assert abs(again.coefficients["heavy"] - fit.coefficients["heavy"]) < 0.01
