--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -15,7 +15,7 @@
     BackfillUse,
     ServiceUse,
     WorkerPace,
-    to_percent,
+    split_share,
 )
 
 
@@ -63,14 +63,11 @@
     def pace_changes(self, link: WorkerLink) -> list[PaceChange]:
         """Return the speeds to change on a worker as it is loaded now."""
         pace = self._pace_of(link.worker)
-        speeds = pace.speeds(self.model, _services_on(link), _backfill_on(link))
+        shares = pace.allowed_shares(self.model, _services_on(link), _backfill_on(link))
         return [
-            PaceChange(run, percent)
-            for run in link.run_by_task.values()
-            if run.spec.backfill
-            and run.state is RunState.ACTIVE
-            and (percent := to_percent(speeds.get(run.spec.image, 1.0)))
-            != run.wanted_percent
+            change
+            for image, share in shares.items()
+            for change in _split_among_runs(link, image, share)
         ]
 
     def speed_of(self, link: WorkerLink, spec: StepSpec) -> float:
@@ -78,13 +75,13 @@
         pace = self._pace_of(link.worker)
         if pace.has_breach:
             return 0.0
-        services = _services_on(link)
-        demand = spec.cpu_millicores / max(1, link.load.capacity.cpu_millicores)
-        backfill = [use for use in _backfill_on(link) if use.image != spec.image]
-        beside = [use for use in _backfill_on(link) if use.image == spec.image]
-        total = sum(use.demand for use in beside) + demand
-        backfill.append(BackfillUse(spec.image, total, 0.0))
-        return pace.speeds(self.model, services, backfill)[spec.image]
+        demand = _share(link, spec.cpu_millicores)
+        backfill = _backfill_on(link)
+        given = sum(use.demand for use in backfill if use.image == spec.image)
+        backfill = [use for use in backfill if use.image != spec.image]
+        backfill.append(BackfillUse(spec.image, given + demand, 0.0))
+        shares = pace.allowed_shares(self.model, _services_on(link), backfill)
+        return max(0.0, min(1.0, (shares[spec.image] - given) / demand))
 
     def scarcity_of(self, worker: str) -> float:
         """Return how much a worker is needed by backfill with few places, 0 to 1."""
@@ -185,6 +182,27 @@
         return self._pace_by_worker.setdefault(worker, WorkerPace())
 
 
+def _split_among_runs(link: WorkerLink, image: str, share: float) -> list[PaceChange]:
+    """Return the changes that let the runs of an image use ``share`` of a worker."""
+    runs = [
+        run
+        for run in link.run_by_task.values()
+        if run.spec.backfill and run.spec.image == image
+    ]
+    runs.sort(key=lambda run: -run.progress_percent)
+    demands = [_share(link, run.spec.cpu_millicores) for run in runs]
+    return [
+        PaceChange(run, percent)
+        for run, percent in zip(runs, split_share(share, demands), strict=True)
+        if run.state is RunState.ACTIVE and percent != run.wanted_percent
+    ]
+
+
+def _share(link: WorkerLink, millicores: float) -> float:
+    """Return millicores as a share of the worker; never nothing."""
+    return max(1.0, millicores) / max(1, link.load.capacity.cpu_millicores)
+
+
 def _services_on(link: WorkerLink) -> list[ServiceUse]:
     return [
         ServiceUse(
--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -27,6 +27,7 @@
 LEAST_SHARE = 0.001
 MIN_SLOPE = 2.5  # below, backfill of an image is not slowed for a service
 EPSILON = 1e-9
+ROUNDING = 1e-6
 
 
 class ServiceUse(NamedTuple):
@@ -141,26 +142,24 @@
         """Return whether a service was over its target in the last report."""
         return any(record.breaches for record in self.record_by_task.values())
 
-    def speeds(
+    def allowed_shares(
         self,
         model: InterferenceModel,
         services: Sequence[ServiceUse],
         backfill: Sequence[BackfillUse],
     ) -> dict[str, float]:
-        """Return the speed of each backfill image, from 0 to 1."""
-        speed_by_image = {use.image: 1.0 for use in backfill}
+        """Return which share of the worker backfill of each image may use."""
+        share_by_image = {use.image: use.demand for use in backfill}
         for service in services:
-            pressing = _pressing(model, service, backfill, MIN_SLOPE)
             budget = self.budget(model, service)
             # The images that disturb least for the processors they use come first.
-            for slope, use in pressing:
-                added = slope * use.demand
-                speed = min(1.0, budget / (added + EPSILON))
-                speed_by_image[use.image] = min(speed_by_image[use.image], speed)
-                budget = max(0.0, budget - added)
+            for slope, use in _pressing(model, service, backfill, MIN_SLOPE):
+                share = min(share_by_image[use.image], budget / slope)
+                share_by_image[use.image] = share
+                budget = max(0.0, budget - slope * share)
         return {
-            image: speed * self.brake_by_image.get(image, 1.0)
-            for image, speed in speed_by_image.items()
+            image: share * self.brake_by_image.get(image, 1.0)
+            for image, share in share_by_image.items()
         }
 
 
@@ -194,7 +193,21 @@
     return set()
 
 
+def split_share(share: float, demands: Sequence[float]) -> list[int]:
+    """Return the speed of each task, in percent, that together use ``share``.
+
+    The first tasks get all that they ask for, so that they end soon, rather than all
+    tasks a little.
+    """
+    percents = []
+    for demand in demands:
+        speed = min(1.0, share / (demand + EPSILON))
+        percents.append(to_percent(speed))
+        share = max(0.0, share - demand)
+    return percents
+
+
 def to_percent(speed: float) -> int:
     """Return a speed in the steps in which it is ordered."""
-    steps = int(max(0.0, min(1.0, speed)) * FULL_PERCENT / STEP_PERCENT + EPSILON)
+    steps = int(max(0.0, min(1.0, speed)) * FULL_PERCENT / STEP_PERCENT + ROUNDING)
     return steps * STEP_PERCENT
--- a/savorydale/tests/placement/pacing_tests.py
+++ b/savorydale/tests/placement/pacing_tests.py
@@ -7,6 +7,7 @@
     BackfillUse,
     ServiceUse,
     WorkerPace,
+    split_share,
     to_percent,
 )
 
@@ -41,7 +42,8 @@
 
 def speeds(pace, model, backfill, tail_ms=BASE_MS):
     service = ServiceUse("t1", "feed", tail_ms, TARGET_MS)
-    return pace.speeds(model, [service], backfill)
+    shares = pace.allowed_shares(model, [service], backfill)
+    return {use.image: shares[use.image] / use.demand for use in backfill}
 
 
 def test_slopes_are_learnt_by_pair():
@@ -117,3 +119,8 @@
         100,
         100,
     ]
+
+
+def test_a_small_share_lets_some_tasks_work_rather_than_none():
+    # Ten tasks that together may use as much as one and a half of them.
+    assert split_share(0.15, [0.1] * 10) == [100, 50] + [0] * 8
