--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -16,7 +16,7 @@
 SERVICE_USE_RATIO = 0.5  # share of its reservation that a service uses on average
 FIRST_MIN_SPEED = 0.6  # backfill waits for a worker where it reaches this speed,
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # then takes less,
-LEAST_SPEED = 0.04  # down to this
+LEAST_SPEED = 0.0  # and in the end any
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
 FAILED_THERE_PENALTY = 3.0
