--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -56,6 +56,7 @@
 LEARNT_SECONDS = 3.0
 RETENTION_MARGIN_SECONDS = 30.0
 TICK_SECONDS = 0.1
+PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
 MILLISECONDS = 1000
 NO_ROOM = Resources(0, 0, 0)
 
@@ -503,7 +504,7 @@
             self._speeds(step, candidates),
             self._likenesses(step, candidates),
             now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
-            self._short_tasks.room_per_worker(len(candidates)),
+            self._service_headroom(step, candidates),
         )
         if step.spec.gang and len(tasks) < step.open_count:
             return  # members of the last run are still ending
@@ -529,6 +530,15 @@
         for task, run, link in chosen:
             self._assign(step, task, run, link)
 
+    def _service_headroom(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> float:
+        """Return the room to keep beside a service, unless places are plenty."""
+        places = sum(candidate.load.places_for(step.spec) for candidate in candidates)
+        if places >= PLENTY_OF_PLACES:
+            return 0.0
+        return self._short_tasks.room_per_worker(len(candidates))
+
     def _speeds(
         self, step: StepProgress, candidates: list[Candidate]
     ) -> dict[str, float]:
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -98,6 +98,14 @@
         self.backfill_millicores += cpu_millicores
         run.wanted_percent = percent
 
+    def places_for(self, spec: StepSpec) -> int:
+        """Return how many tasks of a step that reserves processors still fit."""
+        by_cpu = (self.capacity.cpu_millicores - self.cpu_millicores) // max(
+            1, spec.cpu_millicores
+        )
+        by_memory = (self.capacity.memory_mb - self.memory_mb) // max(1, spec.memory_mb)
+        return max(0, min(by_cpu, by_memory))
+
     def fits(self, spec: StepSpec) -> bool:
         """Return whether one more task of a step fits."""
         capacity = self.capacity
--- a/savorydale/placement/headroom.py
+++ b/savorydale/placement/headroom.py
@@ -2,7 +2,7 @@
 
 Answers a full fleet: short urgent tasks come in bursts and are worth more for each
 core-second than one service more. The room is kept in pieces, a little on each worker,
-so that it never is a place that a service could have taken twice over.
+and only while hardly any place for the service is left.
 """
 
 import math
