Ask the policy service for tickets, and give the lease up on a slow VM

Cause: starts on a queue with a policy need a ticket, which nothing fetched; a holder of the lease on a VM that has turned slow makes all jobs late. Ruled out: fetching tickets at the start itself (a decision takes longer than a start).

--- a/savorydale/exceptions.py
+++ b/savorydale/exceptions.py
@@ -98,6 +98,10 @@
     """Another entry has taken over the scheduling of jobs."""
 
 
+class OverloadedError(SavorydaleError):
+    """This VM is too slow to schedule for all others."""
+
+
 class WorkerError(SavorydaleError):
     """Base class of a worker's failures."""
 
--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from savorydale.counters import Counters
-from savorydale.exceptions import LeadershipLostError, StoreError
+from savorydale.exceptions import LeadershipLostError, OverloadedError, StoreError
 from savorydale.job_scheduler import JobScheduler, SchedulerTiming
 from savorydale.jobs.acceptance import JobDesk
 from savorydale.jobs.model import Configuration
@@ -18,6 +18,7 @@
 from savorydale.orders.interface import WorkerOrders
 from savorydale.ownership.election import wait_for_lease
 from savorydale.ownership.lease import EntryIdentity, SchedulerLease
+from savorydale.platform.advice import PlatformAdvice
 from savorydale.platform.discovery import (
     OPERATOR_TABLE,
     WORKERS_TABLE,
@@ -39,6 +40,7 @@
 SHUTDOWN_SECONDS = 2.0
 LAME_DUCK_SECONDS = 2.5  # the balancer notices after two missed checks, 1 s apart
 LAME_DUCK_SHARE = 0.4  # of the time that a stopping process has
+OVERLOAD_PAUSE_SECONDS = 5.0  # others may take the lease meanwhile
 CLOCK_LOG_SECONDS = 30.0
 CLOCK_JUMP_MS = 250.0
 MILLISECONDS = 1000
@@ -57,6 +59,8 @@
         self._config = config
         self._counters = counters
         self._store: RowStore = PlatformStore(http, config["store"]["address"])
+        advice = config["advice"]["address"]
+        self._policy = PlatformAdvice(http, advice) if advice else None
         self.desk = JobDesk(self._store)
         self._orders: WorkerOrders = PlatformWorkers(http, counters)
         self._configuration: Configuration | None = None
@@ -177,6 +181,14 @@
             except* LeadershipLostError as group:
                 self._counters.increment("lease.lost")
                 log.warning("lease lost", extra={"reason": str(group.exceptions[0])})
+            except* OverloadedError as group:
+                self._counters.increment("lease.given_up")
+                log.warning(
+                    "lease given up, this VM is too slow",
+                    extra={"reason": str(group.exceptions[0])},
+                )
+                await lease.release(RELEASE_TIMEOUT_SECONDS)
+                await asyncio.sleep(OVERLOAD_PAUSE_SECONDS)
             except* StoreError as group:
                 log.warning(
                     "jobs could not be loaded",
@@ -197,6 +209,7 @@
             ),
             self._counters,
             self.read_configuration,
+            self._policy,
         )
         registry = WorkerRegistry(scheduler.replace_workers, self._counters)
         async with asyncio.TaskGroup() as group:
--- a/savorydale/job_scheduler.py
+++ b/savorydale/job_scheduler.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.exceptions import RowFormatError
+from savorydale.exceptions import OverloadedError, RowFormatError
 from savorydale.jobs.ledger import EndEffect, JobProgress, Ledger, StepProgress, Task
 from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.jobs.rows import (
@@ -40,7 +40,13 @@
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.ownership.election import RENEWAL_SECONDS
 from savorydale.ownership.lease import SchedulerLease
-from savorydale.placement.choice import Candidate, PlacementContext, choose_worker
+from savorydale.placement.advice import AdviceCache, PolicyService, StepName
+from savorydale.placement.choice import (
+    Candidate,
+    PlacementContext,
+    choose_worker,
+    unused_millicores,
+)
 from savorydale.placement.colocation import Colocation
 from savorydale.placement.draining import must_leave
 from savorydale.placement.headroom import ShortTaskDemand
@@ -56,6 +62,8 @@
 LEARNT_SECONDS = 3.0
 RETENTION_MARGIN_SECONDS = 30.0
 TICK_SECONDS = 0.1
+MAX_LAG_SECONDS = 0.1
+LATE_TICKS = 12
 PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
 MILLISECONDS = 1000
 NO_ROOM = Resources(0, 0, 0)
@@ -70,6 +78,7 @@
     run: Run
     payload: str
     checkpoint: str
+    ticket: str
 
 
 class SchedulerTiming(NamedTuple):
@@ -91,7 +100,10 @@
         timing: SchedulerTiming,
         counters: Counters,
         read_configuration: Callable[[], Configuration | None],
+        policy: PolicyService | None = None,
     ):
+        self._policy = policy
+        self._advice = AdviceCache()
         self.ledger = Ledger()
         self.link_by_worker: dict[str, WorkerLink] = {}
         self._store = store
@@ -310,6 +322,7 @@
             },
         )
         self._counters.increment("run.lost")
+        self._advice.drop_ticket(StepName(*run.task[:3]), link.worker)
         if found is None:
             return
         step, task = found
@@ -381,6 +394,7 @@
     def _finish(self, job: JobProgress, status: JobStatus) -> None:
         self.ledger.finish(job, status, int(self._store_now_ms()))
         self._ended[job.id] = int(self._store_now_ms())
+        self._advice.forget_job(job.id)
         log.info("job ended", extra={"job": job.id, "status": status})
         for task in job.assigned_tasks():
             link = self.link_by_worker.get(task.worker)
@@ -429,7 +443,7 @@
         for link, cursor, born_ms in cursors:
             link.acknowledge(cursor, born_ms)
         for start in starts:
-            start.link.start(start.run, start.payload, start.checkpoint)
+            start.link.start(start.run, start.payload, start.checkpoint, start.ticket)
 
     def _plan(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -450,7 +464,42 @@
             service = self._service_of(step.job.queue)
             if service not in candidates_by_service:
                 candidates_by_service[service] = self._candidates(service, now)
-            self._place(step, tasks, candidates_by_service[service], now)
+            candidates = candidates_by_service[service]
+            if self._needs_advice(step):
+                candidates = self._advised(step, candidates, now)
+            self._place(step, tasks, candidates, now)
+
+    def _needs_advice(self, step: StepProgress) -> bool:
+        configuration = self._read_configuration()
+        queues = configuration.queue_by_name if configuration else {}
+        queue = queues.get(step.job.queue.name, step.job.queue)
+        return queue.needs_advice and self._policy is not None
+
+    def _advised(
+        self, step: StepProgress, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return the workers with a valid ticket, and ask about others."""
+        name = StepName(step.job.id, step.occurrence, step.number)
+        fitting = [
+            candidate for candidate in candidates if candidate.load.fits(step.spec)
+        ]
+        fitting.sort(key=lambda candidate: -unused_millicores(candidate.load))
+        workers = [candidate.worker for candidate in fitting]
+        asked = self._advice.question(name, workers, now)
+        if asked is not None and self._group is not None:
+            self._group.create_task(self._ask_policy(name, asked))
+        return [
+            candidate
+            for candidate in candidates
+            if self._advice.ticket(name, candidate.worker, now)
+        ]
+
+    async def _ask_policy(self, step: StepName, workers: list[str]) -> None:
+        assert self._policy is not None
+        answer = await self._policy.ask(step, workers)
+        now = asyncio.get_running_loop().time()
+        self._advice.take_answer(step, workers, answer, now)
+        self.wake()
 
     def _observe_short_tasks(
         self, waiting: list[tuple[StepProgress, list[Task]]], now: float
@@ -577,8 +626,10 @@
         self, step: StepProgress, task: Task, run: Run, link: WorkerLink
     ) -> None:
         self.ledger.assign(step, task, link.worker)
+        name = StepName(step.job.id, step.occurrence, step.number)
+        ticket = self._advice.ticket(name, link.worker, run.assigned_at)
         payload = step.job.row.spec.payload
-        self._starts.append(PendingStart(link, run, payload, task.checkpoint))
+        self._starts.append(PendingStart(link, run, payload, task.checkpoint, ticket))
         self._counters.increment("run.assigned")
         log.info(
             "run assigned",
@@ -597,8 +648,11 @@
         summary_at = 0.0
         learnt_at = 0.0
         loop = asyncio.get_running_loop()
+        lag = LoopLag()
         while True:
+            before = loop.time()
             await asyncio.sleep(TICK_SECONDS)
+            lag.observe(loop.time() - before - TICK_SECONDS)
             if loop.time() - summary_at >= SUMMARY_SECONDS:
                 summary_at = loop.time()
                 self._summarize()
@@ -692,6 +746,25 @@
         return now_ms + self._store_clock_offset_ms
 
 
+class LoopLag:
+    """Finds that the event loop cannot keep up, which makes all jobs late."""
+
+    def __init__(self) -> None:
+        self._late_ticks = 0
+
+    def observe(self, lag_seconds: float) -> None:
+        """Take in by how much a timer was late.
+
+        Raises
+        ------
+        OverloadedError
+            If many timers in a row were late.
+        """
+        self._late_ticks = self._late_ticks + 1 if lag_seconds > MAX_LAG_SECONDS else 0
+        if self._late_ticks >= LATE_TICKS:
+            raise OverloadedError(f"{LATE_TICKS} timers in a row were late")
+
+
 class JobFeed:
     """Passes accepted and cancelled jobs from the store to the scheduler."""
 
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -251,7 +251,14 @@
             self._forget_earlier_life(held.born_ms)
         self.born_ms = held.born_ms
         if self.contact_at is None or now - self.contact_at > CONTACT_SECONDS:
-            log.info("worker answers", extra=self._extra(active=len(held.active)))
+            log.info(
+                "worker answers",
+                extra=self._extra(
+                    active=len(held.active),
+                    born_ms=held.born_ms,
+                    clock_ms=held.clock_ms,
+                ),
+            )
         self.contact_at = now
         self._note_clock(held.clock_ms)
         self._take_in_ends(held.ended)
--- /dev/null
+++ b/savorydale/platform/advice.py
@@ -0,0 +1,36 @@
+"""The platform's advice service: which workers a queue's policy allows."""
+
+import logging
+
+from savorydale.placement.advice import PolicyAnswer, StepName
+from savorydale.platform.http import HttpClient, NoReplyError, NotSentError
+
+TIMEOUT_SECONDS = 5.0  # the service answers calls of one VM one after the other
+MILLISECONDS = 1000
+
+log = logging.getLogger(__name__)
+
+
+class PlatformAdvice:
+    """Asks the service at one address; see `PolicyService`."""
+
+    def __init__(self, http: HttpClient, address: str):
+        self._http = http
+        self._url = f"http://{address}/-/advise"
+
+    async def ask(self, step: StepName, workers: list[str]) -> PolicyAnswer | None:
+        """Return the allowed workers with their tickets."""
+        body = {"step": str(step), "workers": workers}
+        try:
+            reply = await self._http.send("POST", self._url, TIMEOUT_SECONDS, body)
+            if reply.status == 200 and reply.body is not None:
+                tickets = {str(row[0]): str(row[1]) for row in reply.body["allowed"]}
+                valid_seconds = float(reply.body["validMs"]) / MILLISECONDS
+                return PolicyAnswer(tickets, valid_seconds)
+            reason = f"status {reply.status}"
+        except (NotSentError, NoReplyError) as error:
+            reason = str(error)
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            reason = f"the answer cannot be read: {error!r}"
+        log.info("policy not answered", extra={"step": str(step), "reason": reason})
+        return None
