--- a/savorydale/exceptions.py
+++ b/savorydale/exceptions.py
@@ -99,7 +99,7 @@
 
 
 class OverloadedError(SavorydaleError):
-    """This VM is too slow to schedule for all others."""
+    """The VM is too slow to schedule for all others."""
 
 
 class WorkerError(SavorydaleError):
--- /dev/null
+++ b/standins/jobs_day.py
@@ -0,0 +1,247 @@
+"""A short day of jobs on loopback: real processes, stand-ins for the platform.
+
+Two entries accept jobs; the one that schedules is killed; a service runs on through it;
+all jobs complete. Run it with ``python -m standins.jobs_day``.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from standins.row_store import RowStoreStandin
+from standins.serve import serve
+from standins.task_worker import Plan, TaskWorkerStandin
+
+ENTRIES = 2
+WORKERS = 3
+JOBS = 12
+TASK_SECONDS = 0.3
+LEASE_MAX_MS = 6_000
+START_SECONDS = 10.0
+JOBS_SECONDS = 20.0
+HOST = "desk.example"
+SERVICE_JOB = f"{0xFEED:016x}"
+
+SETTINGS = """
+[vm]
+name = "{name}"
+zone = "z1"
+ip = "127.0.0.1"
+
+[listen]
+callers = "127.0.0.1:{callers}"
+health = "127.0.0.1:{health}"
+metrics_port = {metrics}
+
+[store]
+address = "{store}"
+
+[timing]
+lease_max_ms = {lease_max_ms}
+stop_grace_s = 2
+"""
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class EntryProcess:
+    """One process of savorydale, with its settings file and log."""
+
+    def __init__(self, name: str, store: str, folder: pathlib.Path):
+        self.name = name
+        self.callers = free_port()
+        self._health = free_port()
+        self._settings = folder / f"{name}.toml"
+        self.log = folder / f"{name}.log"
+        self._settings.write_text(
+            SETTINGS.format(
+                name=name,
+                callers=self.callers,
+                health=self._health,
+                metrics=free_port(),
+                store=store,
+                lease_max_ms=LEASE_MAX_MS,
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "savorydale",
+                "serve-jobs",
+                "--config",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    async def end(self, number: signal.Signals) -> None:
+        """Send a signal and wait for the end."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.process.send_signal(number)
+        await self.process.wait()
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Return whether the balancer would use this entry."""
+        url = f"http://127.0.0.1:{self._health}/-/readiness"
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+class Day:
+    """The stand-ins and processes of one day."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.store = RowStoreStandin()
+        self.workers = [
+            TaskWorkerStandin(f"w{number}", LEASE_MAX_MS, self._plan, self._on_start)
+            for number in range(WORKERS)
+        ]
+        self.starts: dict[str, int] = {}
+        self.entries: list[EntryProcess] = []
+        self._folder = folder
+
+    def _plan(self, task: str, run: int) -> Plan:
+        return Plan(None if task.startswith(SERVICE_JOB) else TASK_SECONDS)
+
+    def _on_start(self, worker: str, task: str, run: int) -> None:
+        self.starts[task] = self.starts.get(task, 0) + 1
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Serve the stand-ins and run the entries until the end of the block."""
+        self._configure()
+        async with contextlib.AsyncExitStack() as stack:
+            for worker in self.workers:
+                address = await stack.enter_async_context(serve(worker, free_port()))
+                row = worker.registration(address, "desk", ["a", "r1"])
+                self.store.put("servers", worker.worker, row)
+            store = await stack.enter_async_context(serve(self.store, free_port()))
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            for number in range(ENTRIES):
+                self.entries.append(EntryProcess(f"e{number}", store, self._folder))
+            try:
+                for entry in self.entries:
+                    await entry.start()
+                yield session
+            finally:
+                for entry in self.entries:
+                    await entry.end(signal.SIGKILL)
+                for worker in self.workers:
+                    worker.close()
+
+    def _configure(self) -> None:
+        route = {"name": "q", "host": HOST, "pathPrefix": "/q/", "service": "desk"}
+        route |= {"attempts": 2, "stretch": 1.5, "sloMs": 250}
+        config = {"version": 1, "routes": [route], "services": [], "limits": {}}
+        self.store.put("op", "config", json.dumps(config).encode())
+
+    def holder(self) -> EntryProcess | None:
+        """Return the entry that schedules."""
+        value = self.store.value("scheduler", "lease")
+        name = json.loads(value)[0] if value else None
+        return next((e for e in self.entries if name and e.name == name[0]), None)
+
+    async def call(
+        self, session: aiohttp.ClientSession, entry: EntryProcess, method: str, job: str
+    ) -> tuple[int, dict]:
+        """Send one request of a caller."""
+        step = {"count": 3, "cpu": 500, "memMb": 100, "estRuntimeMs": 300}
+        if job == SERVICE_JOB:
+            step["longRunning"] = True
+        body = {"spec": "text", "steps": [step]} if method == "POST" else None
+        async with session.request(
+            method,
+            f"http://127.0.0.1:{entry.callers}/q/{job}",
+            json=body,
+            headers={"Host": HOST, "Savorydale-Deadline-Ms": "3000"},
+        ) as response:
+            return response.status, await response.json()
+
+
+async def wait_for(condition, seconds: float, what: str) -> None:
+    """Wait until an async condition holds."""
+    deadline = time.monotonic() + seconds
+    while not await condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what}: not within {seconds:.0f} s")
+        await asyncio.sleep(0.05)
+
+
+async def play(folder: pathlib.Path) -> list[str]:
+    """Play the day and return what went wrong."""
+    day = Day(folder)
+    async with day.open() as session:
+
+        async def all_ready() -> bool:
+            ready = [await entry.is_ready(session) for entry in day.entries]
+            return all(ready) and day.holder() is not None
+
+        await wait_for(all_ready, START_SECONDS, "entries are ready")
+        jobs = [f"{number:016x}" for number in range(JOBS)]
+        other = next(entry for entry in day.entries if entry is not day.holder())
+        for job in [SERVICE_JOB, *jobs]:
+            status, _ = await day.call(session, other, "POST", job)
+            assert status == 200, status
+        holder = day.holder()
+        assert holder is not None
+        await wait_for(lambda: _has_started(day), START_SECONDS, "the service starts")
+        await holder.end(signal.SIGKILL)
+        print(f"jobs day: {holder.name}, which schedules, is killed")
+
+        async def all_completed() -> bool:
+            states = [await day.call(session, other, "GET", job) for job in jobs]
+            return all(body.get("state") == "completed" for _, body in states)
+
+        await wait_for(all_completed, JOBS_SECONDS, "all jobs complete")
+        again = [task for task, count in day.starts.items() if count > 1]
+        await other.end(signal.SIGTERM)
+        assert other.process is not None
+        faults = [f"{task} started more than once" for task in again]
+        if other.process.returncode != 0:
+            faults.append(f"{other.name} ended with {other.process.returncode}")
+        return faults
+
+
+async def _has_started(day: Day) -> bool:
+    return sum(task.startswith(SERVICE_JOB) for task in day.starts) == 3
+
+
+def main() -> int:
+    """Play the day and say what was seen."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        faults = asyncio.run(play(pathlib.Path(folder)))
+    for fault in faults:
+        print(f"jobs day: {fault}")
+    verdict = "failed" if faults else f"ok, {JOBS} jobs and a service"
+    print(f"jobs day: {verdict}, {time.monotonic() - started:.1f} s")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
