--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -1,48 +1,60 @@
 """In which order ready steps are placed.
 
-Answers the load of many jobs at once: urgent queues first, then jobs whose deadline
-can still be met, the earliest first, and last those that are worth nothing any more.
+Answers overload: urgent queues first; within a queue, the earliest deadline first. A
+job that cannot meet its objective any more is still of some use until three times the
+objective, so that later time becomes its deadline and others that can still be on time
+go before it.
 """
 
 from typing import NamedTuple
 
-from savorydale.jobs.ledger import StepProgress
+from savorydale.jobs.ledger import JobProgress, StepProgress
 from savorydale.jobs.model import MILLISECONDS_PER_SECOND, JobSpec
 
-WORTHLESS_AFTER_OBJECTIVES = 3.0  # a job that took longer than this is of no use
+USELESS_AFTER_OBJECTIVES = 3.0
 
 
 class PlacementRank(NamedTuple):
     """Sorts steps; the smallest comes first. Times are in seconds."""
 
-    is_hopeless: bool
+    is_useless: bool
     priority: int
     is_short_lived: bool
     deadline: float
 
 
-def longest_chain_seconds(spec: JobSpec) -> float:
-    """Return the estimated run time of the longest chain of steps."""
+def longest_chain_seconds(
+    spec: JobSpec, done_steps: frozenset[int] = frozenset()
+) -> float:
+    """Return the estimated run time of the longest chain of steps not yet done."""
     chain_by_step: list[float] = []
-    for step in spec.steps:
-        before = max((chain_by_step[number] for number in step.after), default=0.0)
-        chain_by_step.append(before + step.estimate_ms / MILLISECONDS_PER_SECOND)
+    for number, step in enumerate(spec.steps):
+        before = max((chain_by_step[earlier] for earlier in step.after), default=0.0)
+        own = 0.0 if number in done_steps else step.estimate_ms
+        chain_by_step.append(before + own / MILLISECONDS_PER_SECOND)
     return max(chain_by_step, default=0.0)
 
 
+def objective_seconds(job: JobProgress) -> float:
+    """Return within which time the job should end."""
+    chain = longest_chain_seconds(job.row.spec)
+    return job.queue.stretch * chain + job.queue.objective_ms / MILLISECONDS_PER_SECOND
+
+
 def rank_step(step: StepProgress, now: float) -> PlacementRank:
     """Return the rank of a ready step at ``now`` on the loop's clock."""
     job = step.job
-    objective_ms = job.queue.objective_ms
-    chain = longest_chain_seconds(job.row.spec)
-    objective = job.queue.stretch * chain + objective_ms / MILLISECONDS_PER_SECOND
-    age = now - job.seen_at
-    is_hopeless = (
-        not step.spec.long_running and age > WORTHLESS_AFTER_OBJECTIVES * objective
+    objective = objective_seconds(job)
+    deadline = job.seen_at + objective
+    done = frozenset(
+        number
+        for number, other in enumerate(job.steps_of(step.occurrence))
+        if other.is_done
     )
+    is_useless = False
+    if now + longest_chain_seconds(job.row.spec, done) > deadline:
+        deadline = job.seen_at + USELESS_AFTER_OBJECTIVES * objective
+        is_useless = now > deadline and not step.spec.long_running
     return PlacementRank(
-        is_hopeless,
-        job.queue.priority,
-        not step.spec.long_running,
-        job.seen_at + objective,
+        is_useless, job.queue.priority, not step.spec.long_running, deadline
     )
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -291,6 +291,11 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
+    def close(self) -> None:
+        """End what runs in the background of the world."""
+        for task in self._background:
+            task.cancel()
+
     # What entries believe
 
     def scheduling_entry(self) -> str | None:
@@ -361,5 +366,6 @@
                 await branch.kill_entry(name)
         for worker in branch.worker_by_name.values():
             worker.close()
+        branch.close()
     if is_checked:
         assert branch.violations.found == []
--- /dev/null
+++ b/savorydale/tests/queueing/order_tests.py
@@ -0,0 +1,60 @@
+"""Steps are placed by priority and by the deadline that can still be met."""
+
+from savorydale.jobs.ledger import JobProgress
+from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.rows import JobRow, JobStatus
+from savorydale.queueing.order import longest_chain_seconds, rank_step
+
+QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 2.0, 1000.0)
+URGENT = QUEUE._replace(priority=0)
+
+
+def make_step(seen_at=0.0, queue=QUEUE, seconds=4.0, **fields):
+    spec = StepSpec(1, estimate_ms=int(1000 * seconds), **fields)
+    row = JobRow(JobSpec("", (spec,)), queue, 0)
+    return JobProgress("j", row, JobStatus.QUEUED, seen_at).steps_of(0)[0]
+
+
+def in_order(now, **steps):
+    return sorted(steps, key=lambda name: rank_step(steps[name], now))
+
+
+def test_longest_chain_follows_dependencies():
+    steps = (
+        StepSpec(1, estimate_ms=1000),
+        StepSpec(1, estimate_ms=5000),
+        StepSpec(1, estimate_ms=2000, after=(0,)),
+    )
+    assert longest_chain_seconds(JobSpec("", steps)) == 5.0
+    assert longest_chain_seconds(JobSpec("", steps), frozenset({1})) == 3.0
+
+
+def test_urgent_queues_come_first():
+    assert in_order(1.0, low=make_step(), high=make_step(queue=URGENT)) == [
+        "high",
+        "low",
+    ]
+
+
+def test_the_earliest_deadline_comes_first():
+    assert in_order(1.0, late=make_step(1.0), early=make_step(0.0)) == ["early", "late"]
+
+
+def test_a_job_that_is_late_lets_others_be_on_time():
+    # The objective is 9 s; at 8 s the first job cannot make it any more.
+    assert in_order(8.0, late=make_step(0.0), fresh=make_step(7.0)) == ["fresh", "late"]
+
+
+def test_a_late_job_is_not_kept_waiting_for_ever():
+    # Its second deadline is at 27 s, that of the fresh job at 34 s.
+    assert in_order(25.0, late=make_step(0.0), fresh=make_step(25.0))[0] == "late"
+
+
+def test_a_job_that_is_of_no_use_comes_last():
+    useless, low = make_step(0.0, URGENT), make_step(39.0)
+    assert in_order(40.0, useless=useless, low=low) == ["low", "useless"]
+
+
+def test_services_are_never_of_no_use():
+    service = make_step(0.0, long_running=True)
+    assert not rank_step(service, 1000.0).is_useless
