--- a/savorydale/placement/pacing.py
+++ b/savorydale/placement/pacing.py
@@ -14,7 +14,7 @@
 
 FULL_PERCENT = 100
 STEP_PERCENT = 10  # smaller changes of speed are not worth an order
-GOAL_RATIO = 0.42  # of the latency target, since reports are rough and late
+GOAL_RATIO = 0.45  # of the latency target, since reports are rough and late
 BRAKE_RATIO = 0.5
 RELEASE_RATIO = 1.2
 REPORT_SECONDS = 0.4  # reports that follow faster repeat the same figures
