--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -33,7 +33,7 @@
     run: Run
 
 
-EMPTY_LIKENESS = 0.4  # an empty worker is better than one with unlike services
+EMPTY_LIKENESS = 0.6  # an empty worker is better than one with unlike services
 DEMAND_SMOOTHING = 0.1  # weight of the newest second in an image's demand
 STUCK_PERCENT = 30
 STUCK_SECONDS = 1.5
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -14,7 +14,7 @@
 FADING = 0.9999  # weight that an observation keeps with each later one
 RIDGE = 0.2  # keeps the slopes of images that were hardly seen near zero
 PASSES = 6  # of coordinate descent after each batch of observations
-UNKNOWN_LIKENESS = 0.3  # of services about which nothing was learnt
+UNKNOWN_LIKENESS = 0.4  # of services about which nothing was learnt
 MIN_TAIL_MS = 0.5  # reports are in whole milliseconds
 
 
