Split the scheduler into takeover, planner, mover, housekeeping and term

Change: a package scheduler/, the parts share SchedulerState; a start's way reads planner, term (commit), orders. A malformed job row no longer stops a takeover. Conclusion: easier to see: what is decided, what is written, what is only upkeep.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -11,7 +11,6 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import LeadershipLostError, OverloadedError, StoreError
-from savorydale.job_scheduler import JobScheduler, SchedulerTiming
 from savorydale.jobs.acceptance import JobDesk
 from savorydale.jobs.model import Configuration
 from savorydale.messages.vm_types import VmConfig
@@ -29,6 +28,7 @@
 from savorydale.platform.http import HttpClient
 from savorydale.platform.store import PlatformStore
 from savorydale.platform.workers import PlatformWorkers
+from savorydale.scheduler.term import JobScheduler, SchedulerTiming
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore
 from savorydale.web.vm_pages import make_health_page, make_metrics_page
--- /dev/null
+++ b/savorydale/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of all jobs by the entry that holds the lease."""
--- /dev/null
+++ b/savorydale/scheduler/planner.py
@@ -0,0 +1,238 @@
+"""Decides which waiting task runs on which worker."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorydale.counters import Counters
+from savorydale.jobs.ledger import StepProgress, Task
+from savorydale.jobs.model import Configuration, QueueSettings
+from savorydale.orders.runs import Run
+from savorydale.orders.worker_link import WorkerLink
+from savorydale.placement.advice import PolicyService, StepName
+from savorydale.placement.choice import (
+    Candidate,
+    PlacementContext,
+    choose_worker,
+    unused_millicores,
+)
+from savorydale.queueing.order import rank_step
+from savorydale.scheduler.state import SchedulerState
+
+PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
+MILLISECONDS = 1000
+
+log = logging.getLogger(__name__)
+
+
+class PendingStart(NamedTuple):
+    """A start order that waits until its assignment is durable."""
+
+    link: WorkerLink
+    run: Run
+    payload: str
+    checkpoint: str
+    ticket: str
+
+
+class Planner:
+    """Places waiting tasks; the starts wait until the assignments are durable."""
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        early_ms: float,
+        counters: Counters,
+        read_configuration: Callable[[], Configuration | None],
+        policy: PolicyService | None,
+    ):
+        self._state = state
+        self._early_ms = early_ms
+        self._counters = counters
+        self._read_configuration = read_configuration
+        self._policy = policy
+        self._starts: list[PendingStart] = []
+        self._questions: set[asyncio.Task[None]] = set()
+
+    def take_starts(self) -> list[PendingStart]:
+        """Return the starts planned since the last call."""
+        starts, self._starts = self._starts, []
+        return starts
+
+    def plan(self) -> None:
+        """Place all tasks that are ready and find room."""
+        now = asyncio.get_running_loop().time()
+        unix_ms = time.time() * MILLISECONDS + self._early_ms / 2
+        steps = [
+            step
+            for job in self._state.ledger.job_by_id.values()
+            for step in job.ready_steps(unix_ms)
+        ]
+        waiting = [(step, step.waiting_tasks()) for step in steps]
+        waiting = [entry for entry in waiting if entry[1]]
+        if not waiting:
+            return
+        self._observe_short_tasks(waiting, now)
+        waiting.sort(key=lambda entry: rank_step(entry[0], now))
+        candidates_by_service: dict[str, list[Candidate]] = {}
+        for step, tasks in waiting:
+            service = self._service_of(step.job.queue)
+            if service not in candidates_by_service:
+                candidates_by_service[service] = self._state.candidates(service, now)
+            candidates = candidates_by_service[service]
+            if self._needs_advice(step):
+                candidates = self._advised(step, candidates, now)
+            self._place(step, tasks, candidates, now)
+
+    def _needs_advice(self, step: StepProgress) -> bool:
+        configuration = self._read_configuration()
+        queues = configuration.queue_by_name if configuration else {}
+        queue = queues.get(step.job.queue.name, step.job.queue)
+        return queue.needs_advice and self._policy is not None
+
+    def _advised(
+        self, step: StepProgress, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return the workers with a valid ticket, and ask about others."""
+        name = StepName(step.job.id, step.occurrence, step.number)
+        fitting = [
+            candidate for candidate in candidates if candidate.load.fits(step.spec)
+        ]
+        fitting.sort(key=lambda candidate: -unused_millicores(candidate.load))
+        workers = [candidate.worker for candidate in fitting]
+        asked = self._state.advice.question(name, workers, now)
+        if asked is not None:
+            question = asyncio.create_task(self._ask_policy(name, asked))
+            self._questions.add(question)
+            question.add_done_callback(self._questions.discard)
+        return [
+            candidate
+            for candidate in candidates
+            if self._state.advice.ticket(name, candidate.worker, now)
+        ]
+
+    async def _ask_policy(self, step: StepName, workers: list[str]) -> None:
+        assert self._policy is not None
+        answer = await self._policy.ask(step, workers)
+        now = asyncio.get_running_loop().time()
+        self._state.advice.take_answer(step, workers, answer, now)
+
+    def _observe_short_tasks(
+        self, waiting: list[tuple[StepProgress, list[Task]]], now: float
+    ) -> None:
+        running = sum(link.load.short_millicores for link in self._state.links)
+        asked = sum(
+            step.spec.cpu_millicores * len(tasks)
+            for step, tasks in waiting
+            if not step.spec.long_running and not step.spec.backfill
+        )
+        self._state.short_tasks.observe(running + asked, now)
+
+    def _service_of(self, queue: QueueSettings) -> str:
+        """Return the service that the configuration in force names for a queue."""
+        configuration = self._read_configuration()
+        current = configuration.queue_by_name.get(queue.name) if configuration else None
+        return current.service if current else queue.service
+
+    def _place(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        candidates: list[Candidate],
+        now: float,
+    ) -> None:
+        context = PlacementContext(
+            step.count_by_worker(),
+            self._speeds(step, candidates),
+            self._likenesses(step, candidates),
+            now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
+            self._service_headroom(step, candidates),
+        )
+        if step.spec.gang and len(tasks) < step.open_count:
+            return  # members of the last run are still ending
+        chosen: list[tuple[Task, Run, WorkerLink]] = []
+        for task in tasks:
+            candidate = choose_worker(step, task, candidates, context)
+            if candidate is None:
+                break
+            link = self._state.link_by_worker[candidate.worker]
+            run = Run(task.id, task.run + 1, step.spec, now)
+            link.reserve(run)
+            context.count_by_worker[link.worker] += 1
+            if step.spec.backfill:
+                speed = self._state.colocation.speed_of(link, step.spec)
+                context.speed_by_worker[link.worker] = speed
+            chosen.append((task, run, link))
+        if step.spec.gang and len(chosen) < len(tasks):
+            for _, run, link in chosen:
+                link.unreserve(run)
+            return
+        if step.spec.gang:
+            self._align_gang(chosen)
+        for task, run, link in chosen:
+            self._assign(step, task, run, link)
+
+    def _service_headroom(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> float:
+        """Return the room to keep beside a service, unless places are plenty."""
+        places = sum(candidate.load.places_for(step.spec) for candidate in candidates)
+        if places >= PLENTY_OF_PLACES:
+            return 0.0
+        return self._state.short_tasks.room_per_worker(len(candidates))
+
+    def _speeds(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> dict[str, float]:
+        """Return how fast the step's backfill may work on each worker."""
+        if not step.spec.backfill:
+            return {}
+        return {
+            candidate.worker: self._state.colocation.speed_of(
+                self._state.link_by_worker[candidate.worker], step.spec
+            )
+            for candidate in candidates
+        }
+
+    def _likenesses(
+        self, step: StepProgress, candidates: list[Candidate]
+    ) -> dict[str, float]:
+        """Return how alike the services on each worker are to the step's tasks."""
+        if not step.spec.long_running:
+            return {}
+        return {
+            candidate.worker: self._state.colocation.likeness_of(
+                self._state.link_by_worker[candidate.worker], step.spec
+            )
+            for candidate in candidates
+        }
+
+    def _align_gang(self, chosen: list[tuple[Task, Run, WorkerLink]]) -> None:
+        """Give all members the same run number and checkpoint."""
+        newest = max((task for task, _, _ in chosen), key=lambda task: task.run)
+        for task, run, _ in chosen:
+            task.run = newest.run
+            task.checkpoint = newest.checkpoint
+            run.number = newest.run + 1
+
+    def _assign(
+        self, step: StepProgress, task: Task, run: Run, link: WorkerLink
+    ) -> None:
+        self._state.ledger.assign(step, task, link.worker)
+        name = StepName(step.job.id, step.occurrence, step.number)
+        ticket = self._state.advice.ticket(name, link.worker, run.assigned_at)
+        payload = step.job.row.spec.payload
+        self._starts.append(PendingStart(link, run, payload, task.checkpoint, ticket))
+        self._counters.increment("run.assigned")
+        log.info(
+            "run assigned",
+            extra={
+                "job": task.id.job,
+                "task": str(task.id),
+                "run": task.run,
+                "worker": link.worker,
+                "age": round(run.assigned_at - step.job.seen_at, 3),
+            },
+        )
--- /dev/null
+++ b/savorydale/scheduler/state.py
@@ -0,0 +1,72 @@
+"""What the scheduling entry knows during one term."""
+
+from savorydale.jobs.ledger import Ledger
+from savorydale.orders.worker_link import WorkerLink
+from savorydale.placement.advice import AdviceCache
+from savorydale.placement.choice import Candidate
+from savorydale.placement.colocation import Colocation
+from savorydale.placement.headroom import ShortTaskDemand
+from savorydale.placement.health import WorkerHealth
+from savorydale.storage.rows import RowKey, RowWrite
+
+
+class SchedulerState:
+    """Jobs, workers and what was learnt of them; the parts of a term share it.
+
+    ``ended_ms_by_job`` keeps ended jobs, the oldest first, on the store's clock.
+    """
+
+    def __init__(self) -> None:
+        self.ledger = Ledger()
+        self.link_by_worker: dict[str, WorkerLink] = {}
+        self.colocation = Colocation()
+        self.short_tasks = ShortTaskDemand()
+        self.advice = AdviceCache()
+        self.ended_ms_by_job: dict[str, int] = {}
+        self._health_by_worker: dict[str, WorkerHealth] = {}
+        self._write_by_row: dict[RowKey, RowWrite] = {}
+
+    @property
+    def links(self) -> list[WorkerLink]:
+        """Return all workers, whether or not they may get tasks."""
+        return list(self.link_by_worker.values())
+
+    @property
+    def has_changes(self) -> bool:
+        """Return whether rows must be written."""
+        return self.ledger.has_changes or bool(self._write_by_row)
+
+    def health_of(self, worker: str) -> WorkerHealth:
+        """Return what is known of a worker's faults."""
+        return self._health_by_worker.setdefault(worker, WorkerHealth())
+
+    def write(self, name: RowKey, value: bytes | None) -> None:
+        """Write a row, or delete it, with the next transaction."""
+        self._write_by_row[name] = RowWrite(name, value)
+
+    def take_writes(self) -> list[RowWrite]:
+        """Return what must be written, and regard it as written."""
+        writes = [*self.ledger.take_changes(), *self._write_by_row.values()]
+        self._write_by_row.clear()
+        return writes
+
+    def candidates(self, service: str, now: float) -> list[Candidate]:
+        """Return the workers of a service that may get tasks now."""
+        return [
+            Candidate(
+                link.worker,
+                link.info.labels,
+                link.load,
+                self.health_of(link.worker).suspicion_now(now),
+                self.colocation.scarcity_of(link.worker),
+            )
+            for link in self.links
+            if link.info.service == service and self._may_get_tasks(link, now)
+        ]
+
+    def _may_get_tasks(self, link: WorkerLink, now: float) -> bool:
+        if link.info.is_draining or not link.is_registered:
+            return False
+        if not link.is_in_contact(now):
+            return False
+        return not self.health_of(link.worker).is_quarantined(now)
--- /dev/null
+++ b/savorydale/scheduler/takeover.py
@@ -0,0 +1,140 @@
+"""Reads what earlier holders of the lease left behind."""
+
+import asyncio
+import logging
+from typing import NamedTuple
+
+from savorydale.exceptions import RowFormatError
+from savorydale.jobs.ledger import JobProgress
+from savorydale.jobs.rows import (
+    CANCEL_SUFFIX,
+    JOBS_TABLE,
+    STATES_TABLE,
+    STEPS_TABLE,
+    TAILS_TABLE,
+    JobStatus,
+    decode_job,
+    decode_state,
+    decode_step,
+    decode_tail_fit,
+)
+from savorydale.orders.runs import Run
+from savorydale.scheduler.state import SchedulerState
+from savorydale.storage.rows import RowRange, RowStore, StoredRow
+
+LOAD_TIMEOUT_SECONDS = 2.0
+MILLISECONDS = 1000
+
+log = logging.getLogger(__name__)
+
+
+class Inheritance(NamedTuple):
+    """What a new holder takes over besides the state.
+
+    ``store_clock_offset_ms`` is the store's clock minus the loop's.
+    """
+
+    runs_by_worker: dict[str, list[Run]]
+    store_clock_offset_ms: float
+
+
+async def load_state(store: RowStore, state: SchedulerState, epoch: int) -> Inheritance:
+    """Fill ``state`` from the store and return the runs that workers may hold.
+
+    The lease was just acquired, so nobody else changes the progress of known jobs. Jobs
+    are read last, so that each has all of its rows.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    states = await _read(store, STATES_TABLE)
+    steps = await _read(store, STEPS_TABLE)
+    learnt = await _read(store, TAILS_TABLE)
+    jobs = await _read(store, JOBS_TABLE)
+    now = loop.time()
+    status_by_job = _load_states(state, states.rows)
+    for row in jobs.rows:
+        if not row.name.key.endswith(CANCEL_SUFFIX):
+            _load_job(state, row, status_by_job, now)
+    for row in steps.rows:
+        _load_step(state, row)
+    for row in learnt.rows:
+        _load_learnt(state, row)
+    runs_by_worker: dict[str, list[Run]] = {}
+    for job in state.ledger.job_by_id.values():
+        _collect_assigned(job, runs_by_worker, now)
+    log.info(
+        "jobs loaded",
+        extra={
+            "epoch": epoch,
+            "jobs": len(state.ledger.job_by_id),
+            "ended": len(state.ended_ms_by_job),
+            "seconds": round(now - started_at, 3),
+        },
+    )
+    return Inheritance(runs_by_worker, jobs.now_ms - now * MILLISECONDS)
+
+
+async def _read(store: RowStore, table: str) -> RowRange:
+    return await store.read_range(table, timeout_seconds=LOAD_TIMEOUT_SECONDS)
+
+
+def _load_states(
+    state: SchedulerState, rows: tuple[StoredRow, ...]
+) -> dict[str, JobStatus]:
+    status_by_job: dict[str, JobStatus] = {}
+    ended_ms_by_job: dict[str, int] = {}
+    for row in rows:
+        decoded = decode_state(row.value or b"")
+        status_by_job[row.name.key] = decoded.status
+        if decoded.status.is_final:
+            ended_ms_by_job[row.name.key] = decoded.ended_ms
+    in_order = sorted(ended_ms_by_job.items(), key=lambda item: item[1])
+    state.ended_ms_by_job.update(in_order)
+    return status_by_job
+
+
+def _load_job(
+    state: SchedulerState,
+    row: StoredRow,
+    status_by_job: dict[str, JobStatus],
+    now: float,
+) -> None:
+    job = row.name.key
+    try:
+        decoded = decode_job(row.value or b"")
+    except RowFormatError as error:
+        log.warning("job row is skipped", extra={"key": job, "reason": str(error)})
+        return
+    state.ledger.add(job, decoded, status_by_job.get(job, JobStatus.QUEUED), now)
+
+
+def _load_step(state: SchedulerState, row: StoredRow) -> None:
+    job_id, occurrence, number = row.name.key.split(".")
+    job = state.ledger.job_by_id.get(job_id)
+    if job is None:
+        log.warning("progress of an unknown job is removed", extra={"job": job_id})
+        state.write(row.name, None)
+        return
+    rows = decode_step(row.value or b"")
+    state.ledger.restore_step(job, int(occurrence), int(number), rows)
+
+
+def _load_learnt(state: SchedulerState, row: StoredRow) -> None:
+    try:
+        fit = decode_tail_fit(row.value or b"")
+    except RowFormatError as error:
+        log.warning("fit is skipped", extra={"reason": str(error)})
+        return
+    state.colocation.model.restore(row.name.key, fit)
+
+
+def _collect_assigned(
+    job: JobProgress, runs_by_worker: dict[str, list[Run]], now: float
+) -> None:
+    for step in job.begun_steps():
+        for task in step.tasks:
+            if not task.worker:
+                continue
+            run = Run(task.id, task.run, step.spec, now)
+            run.stop_wanted = job.status.is_final
+            runs_by_worker.setdefault(task.worker, []).append(run)
--- /dev/null
+++ b/savorydale/scheduler/term.py
@@ -0,0 +1,337 @@
+"""One term as the scheduling entry: from acquiring the lease to losing it.
+
+A start goes one way: jobs, queueing, placement, commit, order. An end goes back: order,
+ledger, commit, acknowledgement.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorydale.counters import Counters
+from savorydale.jobs.ledger import EndEffect, JobProgress
+from savorydale.jobs.model import Configuration
+from savorydale.jobs.rows import JOBS_TABLE, JobStatus, cancel_key, decode_job
+from savorydale.orders.interface import (
+    EndedRun,
+    Resources,
+    WorkerInfo,
+    WorkerOrders,
+)
+from savorydale.orders.runs import Run
+from savorydale.orders.worker_link import WorkerLink
+from savorydale.ownership.election import RENEWAL_SECONDS
+from savorydale.ownership.lease import SchedulerLease
+from savorydale.placement.advice import PolicyService, StepName
+from savorydale.scheduler.housekeeping import Housekeeping
+from savorydale.scheduler.job_feed import JobFeed
+from savorydale.scheduler.loop_lag import LoopLag
+from savorydale.scheduler.planner import Planner
+from savorydale.scheduler.run_mover import RunMover
+from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.takeover import load_state
+from savorydale.storage.follow import follow_table
+from savorydale.storage.rows import RowStore, StoredRow
+
+COMMIT_LINGER_SECONDS = 0.015
+FEED_WAIT_SECONDS = 1.0
+TICK_SECONDS = 0.1
+MILLISECONDS = 1000
+NO_ROOM = Resources(0, 0, 0)
+
+log = logging.getLogger(__name__)
+
+
+class SchedulerTiming(NamedTuple):
+    """Figures of the deployment that the scheduler needs, in their unit."""
+
+    lease_max_ms: float
+    early_ms: float
+    status_retention_s: float
+
+
+class JobScheduler:
+    """Schedules all jobs during one term."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        orders: WorkerOrders,
+        lease: SchedulerLease,
+        timing: SchedulerTiming,
+        counters: Counters,
+        read_configuration: Callable[[], Configuration | None],
+        policy: PolicyService | None = None,
+    ):
+        self._state = SchedulerState()
+        self._store = store
+        self._orders = orders
+        self._lease = lease
+        self._timing = timing
+        self._counters = counters
+        self._planner = Planner(
+            self._state, timing.early_ms, counters, read_configuration, policy
+        )
+        self._mover = RunMover(self._state, counters)
+        self._housekeeping = Housekeeping(
+            self._state,
+            timing.status_retention_s,
+            self._store_now_ms,
+            read_configuration,
+        )
+        self._info_by_worker: dict[str, WorkerInfo] = {}
+        self._wake = asyncio.Event()
+        self._store_clock_offset_ms = 0.0
+        self._group: asyncio.TaskGroup | None = None
+
+    # The term
+
+    async def run(self) -> None:
+        """Schedule until the lease is lost or the task is cancelled.
+
+        Raises
+        ------
+        LeadershipLostError
+            In an exception group, if another entry has taken over.
+        OverloadedError
+            In an exception group, if this VM is too slow.
+        """
+        inherited = await load_state(self._store, self._state, self._lease.epoch)
+        self._store_clock_offset_ms = inherited.store_clock_offset_ms
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            for worker, runs in inherited.runs_by_worker.items():
+                self._restore_link(worker, runs)
+            for info in list(self._info_by_worker.values()):
+                self._open_link(info)
+            group.create_task(
+                follow_table(self._store, JOBS_TABLE, JobFeed(self), FEED_WAIT_SECONDS)
+            )
+            group.create_task(self._commit_loop())
+            group.create_task(self._tick_loop())
+
+    # Workers
+
+    def replace_workers(self, info_by_worker: dict[str, WorkerInfo]) -> None:
+        """Take in the list of registered workers."""
+        for worker, link in self._state.link_by_worker.items():
+            link.is_registered = worker in info_by_worker
+        self._info_by_worker = info_by_worker
+        if self._group is not None:
+            for info in info_by_worker.values():
+                self._open_link(info)
+        self.wake()
+
+    def _open_link(self, info: WorkerInfo) -> None:
+        link = self._state.link_by_worker.get(info.worker)
+        if link is None or link.is_closed:
+            link = self._make_link(info)
+        if link.info.capacity != info.capacity:
+            link.load.capacity = info.capacity
+        if link.info.is_draining != info.is_draining:
+            log.info(
+                "worker state changed",
+                extra={"worker": info.worker, "draining": info.is_draining},
+            )
+        link.update(info)
+
+    def _restore_link(self, worker: str, runs: list[Run]) -> None:
+        info = self._info_by_worker.get(worker)
+        if info is None:
+            # The worker is not registered; its leases must lapse.
+            info = WorkerInfo(worker, "", "", "", True, NO_ROOM, (), 0, None)
+        link = self._make_link(info)
+        link.is_registered = worker in self._info_by_worker
+        for run in runs:
+            link.restore(run)
+
+    def _make_link(self, info: WorkerInfo) -> WorkerLink:
+        link = WorkerLink(
+            info,
+            self._orders,
+            self,
+            self._lease.epoch,
+            self._timing.lease_max_ms,
+            self._counters,
+        )
+        self._state.link_by_worker[info.worker] = link
+        if self._group is not None:
+            self._group.create_task(link.run())
+        return link
+
+    def on_end(self, link: WorkerLink, end: EndedRun) -> None:
+        """Apply the end of a run; acknowledged with the next commit."""
+        now = asyncio.get_running_loop().time()
+        effect = self._state.ledger.apply_end(link.worker, end, now)
+        self._counters.increment(f"end.{end.reason}")
+        log.info(
+            "run ended",
+            extra={
+                "job": end.task.job,
+                "task": str(end.task),
+                "run": end.run,
+                "worker": link.worker,
+                "reason": end.reason,
+                "effect": effect,
+            },
+        )
+        if self._state.health_of(link.worker).on_end(end, now):
+            self._counters.increment("worker.quarantined")
+            log.warning(
+                "worker is quarantined",
+                extra={"worker": link.worker, "reason": "tasks of several jobs failed"},
+            )
+        job = self._state.ledger.job_by_id.get(end.task.job)
+        if job is not None:
+            self._settle_job(job, effect)
+        self.wake()
+
+    def _settle_job(self, job: JobProgress, effect: EndEffect) -> None:
+        if not job.status.is_final:
+            if effect is EndEffect.GAVE_UP:
+                self._finish(job, JobStatus.FAILED)
+            elif effect is EndEffect.SUCCEEDED and job.is_complete:
+                self._finish(job, JobStatus.COMPLETED)
+        self._state.ledger.forget_if_idle(job)
+
+    def on_lost(self, link: WorkerLink, run: Run, reason: str) -> None:
+        """Put the task of a run that does not exist any more back to waiting."""
+        found = self._state.ledger.find_task(run.task)
+        log.info(
+            "run lost",
+            extra={
+                "job": run.task.job,
+                "task": str(run.task),
+                "run": run.number,
+                "worker": link.worker,
+                "reason": reason,
+            },
+        )
+        self._counters.increment("run.lost")
+        self._state.advice.drop_ticket(StepName(*run.task[:3]), link.worker)
+        if found is None:
+            return
+        step, task = found
+        if task.worker == link.worker and task.run == run.number:
+            self._state.ledger.release(task, step, asyncio.get_running_loop().time())
+        self._state.ledger.forget_if_idle(step.job)
+        self.wake()
+
+    def on_started(self, link: WorkerLink, run: Run) -> None:
+        """Slow new backfill down at once, if the services beside it ask for that."""
+        if not run.spec.backfill:
+            return
+        for paced, percent in self._state.colocation.pace_changes(link):
+            link.throttle(paced, percent)
+
+    def on_report(self, link: WorkerLink) -> None:
+        """Adapt the speed of backfill to the services' tail latency."""
+        for run, percent in self._state.colocation.on_report(link):
+            link.throttle(run, percent)
+
+    # Jobs
+
+    def take_in_job(self, row: StoredRow) -> None:
+        """Take in an accepted job, once."""
+        job = row.name.key
+        if (
+            job in self._state.ended_ms_by_job
+            or job in self._state.ledger.job_by_id
+            or row.value is None
+        ):
+            return
+        decoded = decode_job(row.value)
+        now = asyncio.get_running_loop().time()
+        self._state.ledger.add(job, decoded, JobStatus.QUEUED, now)
+        self._counters.increment("job.taken_in")
+        log.info(
+            "job taken in",
+            extra={"job": job, "queue": decoded.queue.name, "version": row.version},
+        )
+        self.wake()
+
+    def cancel_job(self, job_id: str) -> None:
+        """Stop the runs of a job and show it as cancelled."""
+        job = self._state.ledger.job_by_id.get(job_id)
+        if job is None:
+            key = cancel_key(job_id)
+            self._state.write(key, None)
+            return
+        if job.status.is_final:
+            return
+        self._counters.increment("job.cancelled")
+        self._finish(job, JobStatus.CANCELLED)
+        self._state.ledger.forget_if_idle(job)
+        self.wake()
+
+    def _finish(self, job: JobProgress, status: JobStatus) -> None:
+        self._state.ledger.finish(job, status, int(self._store_now_ms()))
+        self._state.ended_ms_by_job[job.id] = int(self._store_now_ms())
+        self._state.advice.forget_job(job.id)
+        log.info("job ended", extra={"job": job.id, "status": status})
+        for task in job.assigned_tasks():
+            link = self._state.link_by_worker.get(task.worker)
+            run = link.run_by_task.get(task.id) if link else None
+            if link is not None and run is not None:
+                link.stop(run)
+
+    # Decisions and their durability
+
+    def wake(self) -> None:
+        """Plan and commit soon."""
+        self._wake.set()
+
+    async def _commit_loop(self) -> None:
+        """Plan, make what was decided durable, and only then act on it."""
+        while True:
+            try:
+                async with asyncio.timeout(RENEWAL_SECONDS):
+                    await self._wake.wait()
+                await asyncio.sleep(COMMIT_LINGER_SECONDS)
+            except TimeoutError:
+                pass  # nothing has happened; the lease must be renewed
+            self._wake.clear()
+            self._planner.plan()
+            await self._commit()
+
+    async def _commit(self) -> None:
+        loop = asyncio.get_running_loop()
+        if (
+            not self._state.has_changes
+            and loop.time() - self._lease.renewed_at < RENEWAL_SECONDS
+        ):
+            for link in self._state.links:
+                link.acknowledge(link.processed, link.born_ms)
+            return
+        writes = self._state.take_writes()
+        starts = self._planner.take_starts()
+        cursors = [
+            (link, link.processed, link.born_ms)
+            for link in self._state.links
+            if link.processed > link.acknowledged
+        ]
+        started_at = loop.time()
+        await self._lease.commit(writes)
+        self._counters.record_latency("commit", loop.time() - started_at)
+        self._counters.increment("commit.rows", len(writes))
+        for link, cursor, born_ms in cursors:
+            link.acknowledge(cursor, born_ms)
+        for start in starts:
+            start.link.start(start.run, start.payload, start.checkpoint, start.ticket)
+
+    async def _tick_loop(self) -> None:
+        """Look after what no event announces: room, time, contact, old rows."""
+        loop = asyncio.get_running_loop()
+        lag = LoopLag()
+        while True:
+            before = loop.time()
+            await asyncio.sleep(TICK_SECONDS)
+            lag.observe(loop.time() - before - TICK_SECONDS)
+            self._housekeeping.tidy()
+            self._mover.move()
+            self.wake()
+
+    def _store_now_ms(self) -> float:
+        now_ms = asyncio.get_running_loop().time() * MILLISECONDS
+        return now_ms + self._store_clock_offset_ms
--- a/savorydale/tests/loop_lag_tests.py
+++ b/savorydale/tests/scheduler/loop_lag_tests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from savorydale.exceptions import OverloadedError
-from savorydale.job_scheduler import LATE_TICKS, LoopLag
+from savorydale.scheduler.loop_lag import LATE_TICKS, LoopLag
 
 
 def test_many_late_timers_in_a_row_are_too_many():
