Settle runs when a worker begins a new life, and do not acknowledge across lives

A start that reached a worker's new life before the first list of that life was given up as lost and started again: two runs at once. A renewal sent to a new life carried the old life's acknowledgement, so ends were forgotten unread. A worker that refuses connections got starts for 2 s more. Change: runs confirmed lately are settled by the next list under a new token; after a gap or with a newer birth in the registration nothing is acknowledged; no starts after a refused connection until the next list.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -205,7 +205,9 @@
         token = self._token
         at_once = self._asks_at_once or bool(self._unsettled())
         order = HoldOrder(
-            self.acknowledged, self._next_lease_end(), 0 if at_once else HOLD_WAIT_MS
+            self._acknowledgement(),
+            self._next_lease_end(),
+            0 if at_once else HOLD_WAIT_MS,
         )
         self._asks_at_once = True
         outcome = await self._orders.hold(self._target(token), order)
@@ -248,7 +250,7 @@
     def _take_in(self, held: Held, sent_at: float, token: int) -> None:
         now = asyncio.get_running_loop().time()
         if self.born_ms is not None and held.born_ms != self.born_ms:
-            self._forget_earlier_life(held.born_ms)
+            self._begin_new_life(held.born_ms, sent_at)
         self.born_ms = held.born_ms
         if self.contact_at is None or now - self.contact_at > CONTACT_SECONDS:
             log.info(
@@ -302,13 +304,33 @@
         )
         self._spawn(self._stop(active.task, active.run))
 
-    def _forget_earlier_life(self, born_ms: int) -> None:
+    def _begin_new_life(self, born_ms: int, sent_at: float) -> None:
+        """Start counting anew; runs that were there before are gone.
+
+        A start order may have reached the new life already, so runs that were confirmed
+        lately, or not at all, are settled by the next list.
+        """
         log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
         self.processed = 0
         self.acknowledged = 0
         self._lease_end_ms = 0
-        for run in list(self.run_by_task.values()):
-            self._lose(run, "worker restarted")
+        self._token += 1
+        for run in self.run_by_task.values():
+            if run.state is RunState.ACTIVE and run.confirmed_at < sent_at:
+                continue  # the list that shows the new life tells whether it has it
+            run.state = RunState.UNKNOWN
+            run.settling_token = self._token
+
+    def _acknowledgement(self) -> int:
+        """Return up to which end the worker may forget.
+
+        After a gap the worker may have begun a new life, whose ends count from one;
+        what was acknowledged in the earlier life must not make it forget them.
+        """
+        is_other_life = self.info.born_ms not in (0, self.born_ms)
+        if self._asks_at_once or is_other_life:
+            return 0
+        return self.acknowledged
 
     def _give_up_lapsed(self, now: float) -> None:
         if self.is_in_contact(now) or now < self.lapse_at():
@@ -352,6 +374,8 @@
                 )
                 if reason is RefusalReason.FENCED:
                     self._check_fenced(token)
+                if reason is RefusalReason.UNREACHABLE:
+                    self.contact_at = None  # no more starts before the next list
                 self._lose(run, f"start refused: {reason}")
             case Unanswered(detail):
                 self._counters.increment("start.unanswered")
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -86,6 +86,8 @@
 
     async def _carry_out_late(self, target, method, path, params, body, faults):
         await asyncio.sleep(faults.late_seconds * self._branch.rng.uniform(0.3, 1.5))
+        if isinstance(target, TaskWorkerStandin) and not target.is_up:
+            return  # nobody is there to carry it out
         await target.handle(method, path, params, body)
 
 
