Let a worker register while a term ends

Change: such a worker is not followed any more; the next term follows it. Before: the new test fails with RuntimeError. After: it passes.

--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -156,10 +156,20 @@
             self._counters,
         )
         self._state.link_by_worker[info.worker] = link
-        if self._group is not None:
-            self._group.create_task(link.run())
+        self._run_link(link)
         return link
 
+    def _run_link(self, link: WorkerLink) -> None:
+        if self._group is None:
+            return
+        running = link.run()
+        try:
+            self._group.create_task(running)
+        except RuntimeError:
+            # The term is ending, while workers still register.
+            running.close()
+            log.info("worker is not followed", extra={"worker": link.worker})
+
     def on_end(self, link: WorkerLink, end: EndedRun) -> None:
         """Apply the end of a run; acknowledged with the next commit."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/savorydale/tests/scheduler/term_tests.py
@@ -0,0 +1,22 @@
+"""The end of a term, while the rest of the process goes on."""
+
+import asyncio
+
+from savorydale.counters import Counters
+from savorydale.orders.interface import Resources, WorkerInfo
+from savorydale.ownership.lease import EntryIdentity, SchedulerLease
+from savorydale.scheduler.term import JobScheduler, SchedulerTiming
+from savorydale.tests.harness import on_virtual_time
+
+ROOM = Resources(1000, 1000, 0)
+INFO = WorkerInfo("w1", "w1:80", "desk", "z1", False, ROOM, (), 1, None)
+
+
+@on_virtual_time
+async def test_worker_that_registers_while_the_term_ends_does_no_harm():
+    lease = SchedulerLease(None, EntryIdentity("e1", "1"), 1, 1, 0.0)
+    timing = SchedulerTiming(6000.0, 250.0, 120.0)
+    scheduler = JobScheduler(None, None, lease, timing, Counters(), lambda: None)
+    async with asyncio.TaskGroup() as group:
+        scheduler._group = group
+    scheduler.replace_workers({"w1": INFO})
