Let backfill wait rather than park it, and try unknown pairs in few places

In the first 15 s 178 of 382 reports over target came of pairs of images of which nothing was known; later 215 of 415 came of pairs known to disturb: a task that had waited 4 s was placed where its speed is 0, worked at full speed until the first throttle order, and then stood there (89% of one image's tasks at 20% of their speed or less). Ruled out: too small a model; base latency drifting (143 of 415 had no backfill effect and do not count fourfold). Change: while most processors are used, backfill waits for a worker where it gets 30% or more; at most two workers try an unknown pair, with one task each; the ridge of the fit is a tenth; waiting backfill counts as demand; stuck runs without a checkpoint move too while little of them is done.

--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -60,7 +60,8 @@
 
     Runs that are being stopped or whose state is unknown count in full. Backfill takes
     memory and accelerators, but only processors that other runs leave unused; it counts
-    at the speed that it was given.
+    at the speed that it was given. ``services_by_image`` counts the services that have
+    a latency target, which backfill may disturb.
     """
 
     def __init__(self, capacity: Resources):
@@ -82,7 +83,8 @@
             self.cpu_millicores += sign * spec.cpu_millicores
         if spec.long_running:
             self.service_millicores += sign * spec.cpu_millicores
-            self.services_by_image[spec.image] += sign
+            if spec.latency_target_ms:
+                self.services_by_image[spec.image] += sign
         self.memory_mb += sign * spec.memory_mb
         self.accelerators += sign * spec.accelerators
 
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import StepProgress, Task
@@ -16,7 +16,8 @@
 SERVICE_USE_RATIO = 0.5  # share of its reservation that a service uses on average
 FIRST_MIN_SPEED = 0.6  # backfill waits for a worker where it reaches this speed,
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # then takes less,
-LEAST_SPEED = 0.0  # and in the end any
+BUSY_LEAST_SPEED = 0.3  # but no worker where it would hardly work, while all are busy
+BUSY_RATIO = 0.6  # used share of the workers' processors
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
 FAILED_THERE_PENALTY = 3.0
@@ -47,6 +48,7 @@
     ``likeness_by_worker`` is how alike the services there answer to backfill.
     ``waited_seconds`` is how long the task has waited. ``service_headroom`` is what a
     service should leave free on its worker for short tasks, in millicores.
+    ``is_busy`` tells whether most of the workers' processors are used.
     """
 
     count_by_worker: Counter[str]
@@ -54,6 +56,7 @@
     likeness_by_worker: dict[str, float]
     waited_seconds: float
     service_headroom: float = 0.0
+    is_busy: bool = False
 
 
 def unused_millicores(load: WorkerLoad) -> float:
@@ -63,10 +66,21 @@
     return load.capacity.cpu_millicores - used - load.backfill_millicores
 
 
-def least_speed(waited_seconds: float) -> float:
-    """Return the speed below which backfill rather waits."""
+def is_busy(candidates: Sequence[Candidate]) -> bool:
+    """Return whether most of the workers' processors are used."""
+    capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
+    unused = sum(unused_millicores(candidate.load) for candidate in candidates)
+    return capacity - unused >= BUSY_RATIO * capacity
+
+
+def least_speed(waited_seconds: float, is_busy: bool) -> float:
+    """Return the speed below which backfill rather waits.
+
+    A task that starts works at full speed until it is slowed down, and so disturbs
+    services even where it may hardly work at all afterwards.
+    """
     speed = FIRST_MIN_SPEED - MIN_SPEED_DECAY_PER_SECOND * waited_seconds
-    return max(LEAST_SPEED, speed)
+    return max(BUSY_LEAST_SPEED if is_busy else 0.0, speed)
 
 
 def choose_worker(
@@ -105,7 +119,7 @@
     if not spec.backfill:
         return True
     speed = _backfill_speed(spec, candidate, context)
-    return speed >= least_speed(context.waited_seconds)
+    return speed >= least_speed(context.waited_seconds, context.is_busy)
 
 
 def _leaves_headroom(spec: StepSpec, load: WorkerLoad, headroom: float) -> bool:
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepSpec
@@ -33,12 +33,22 @@
     run: Run
 
 
+class ImagePair(NamedTuple):
+    """A service's image and an image of backfill beside it."""
+
+    service: str
+    backfill: str
+
+
 EMPTY_LIKENESS = 0.6  # an empty worker is better than one with unlike services
 DEMAND_SMOOTHING = 0.1  # weight of the newest second in an image's demand
 STUCK_PERCENT = 30
 STUCK_SECONDS = 1.5
 MOVE_MIN_SPEED = 0.6
 MOVE_MAX_PROGRESS_PERCENT = 90.0  # later, a move costs more than it gains
+RESTART_MAX_PROGRESS_PERCENT = 30.0  # the same without a checkpoint
+TRIALS_PER_PAIR = 2  # workers that may try a pair at once, of which nothing is known
+TRIAL_SECONDS = 2.5  # until the reports show what the trial did
 MOVES_PER_ROUND = 4
 
 
@@ -50,6 +60,7 @@
         self._pace_by_worker: dict[str, WorkerPace] = {}
         self._demand_by_image: dict[str, float] = {}
         self._scarcity_by_worker: dict[str, float] = {}
+        self._trial_end_by_worker: dict[ImagePair, dict[str, float]] = {}
 
     def on_report(self, link: WorkerLink) -> list[PaceChange]:
         """Take in a worker's report and return the speeds to change."""
@@ -78,23 +89,63 @@
         demand = _share(link, spec.cpu_millicores)
         backfill = _backfill_on(link)
         given = sum(use.demand for use in backfill if use.image == spec.image)
+        if not self._may_try(link, spec, given > 0):
+            return 0.0
         backfill = [use for use in backfill if use.image != spec.image]
         backfill.append(BackfillUse(spec.image, given + demand, 0.0))
         shares = pace.allowed_shares(self.model, _services_on(link), backfill)
         return max(0.0, min(1.0, (shares[spec.image] - given) / demand))
 
+    def _may_try(self, link: WorkerLink, spec: StepSpec, has_others: bool) -> bool:
+        """Return whether a task may start beside services it was never seen with.
+
+        Few workers try a pair of images at a time, each with one task, so that an image
+        that disturbs services does so in few places before this is known.
+        """
+        pairs = self._unknown_pairs(link, spec)
+        if not pairs:
+            return True
+        if has_others:
+            return False
+        now = asyncio.get_running_loop().time()
+        return all(
+            sum(
+                end > now
+                for worker, end in self._trial_end_by_worker.get(pair, {}).items()
+                if worker != link.worker
+            )
+            < TRIALS_PER_PAIR
+            for pair in pairs
+        )
+
+    def note_placement(self, link: WorkerLink, spec: StepSpec) -> None:
+        """Note that a backfill task was placed; it may be a trial."""
+        end = asyncio.get_running_loop().time() + TRIAL_SECONDS
+        for pair in self._unknown_pairs(link, spec):
+            self._trial_end_by_worker.setdefault(pair, {})[link.worker] = end
+
+    def _unknown_pairs(self, link: WorkerLink, spec: StepSpec) -> list[ImagePair]:
+        return [
+            ImagePair(service, spec.image)
+            for service, count in link.load.services_by_image.items()
+            if count > 0 and not self.model.is_known(service, spec.image)
+        ]
+
     def scarcity_of(self, worker: str) -> float:
         """Return how much a worker is needed by backfill with few places, 0 to 1."""
         return self._scarcity_by_worker.get(worker, 0.0)
 
-    def refresh(self, links: Sequence[WorkerLink]) -> None:
+    def refresh(
+        self, links: Sequence[WorkerLink], waiting_by_image: Mapping[str, int]
+    ) -> None:
         """Fit what was learnt, and find the workers that are in short supply.
 
         An image of backfill that disturbs most services has few places; those should
-        not be taken by images that can work anywhere.
+        not be taken by images that can work anywhere. ``waiting_by_image`` is the
+        backfill that waits for a worker, in millicores.
         """
         self.model.fit()
-        self._update_demand(links)
+        self._update_demand(links, waiting_by_image)
         harmless = {
             image: [link for link in links if self._is_harmless(link, image)]
             for image in self._demand_by_image
@@ -109,8 +160,10 @@
             worker: need / most for worker, need in need_by_worker.items() if most > 0
         }
 
-    def _update_demand(self, links: Sequence[WorkerLink]) -> None:
-        demand: collections.Counter[str] = collections.Counter()
+    def _update_demand(
+        self, links: Sequence[WorkerLink], waiting_by_image: Mapping[str, int]
+    ) -> None:
+        demand: collections.Counter[str] = collections.Counter(waiting_by_image)
         for link in links:
             for run in link.run_by_task.values():
                 if run.spec.backfill:
@@ -143,10 +196,7 @@
         )
 
     def choose_moves(self, links: Sequence[WorkerLink], now: float) -> list[Move]:
-        """Return runs that cannot work where they are but could elsewhere.
-
-        Only runs that resume from a checkpoint are moved.
-        """
+        """Return runs that cannot work where they are but could elsewhere."""
         moves: list[Move] = []
         for link in links:
             for run in link.run_by_task.values():
@@ -161,12 +211,12 @@
 
     def _is_stuck(self, run: Run, now: float) -> bool:
         spec = run.spec
-        if not spec.backfill or not spec.checkpointing or run.stop_wanted:
+        if not spec.backfill or run.stop_wanted:
             return False
         if run.wanted_percent > STUCK_PERCENT or run.state is not RunState.ACTIVE:
             run.stuck_since = now
             return False
-        if run.progress_percent > MOVE_MAX_PROGRESS_PERCENT:
+        if run.progress_percent > _most_progress_to_move(spec):
             return False
         return now - max(run.stuck_since, run.confirmed_at) > STUCK_SECONDS
 
@@ -182,6 +232,12 @@
         return self._pace_by_worker.setdefault(worker, WorkerPace())
 
 
+def _most_progress_to_move(spec: StepSpec) -> float:
+    if spec.checkpointing:
+        return MOVE_MAX_PROGRESS_PERCENT
+    return RESTART_MAX_PROGRESS_PERCENT
+
+
 def _split_among_runs(link: WorkerLink, image: str, share: float) -> list[PaceChange]:
     """Return the changes that let the runs of an image use ``share`` of a worker."""
     runs = [
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -12,8 +12,9 @@
 
 BASE = ""  # key of the base among the coefficients
 FADING = 0.9999  # weight that an observation keeps with each later one
-RIDGE = 0.2  # keeps the slopes of images that were hardly seen near zero
+RIDGE = 0.02  # keeps the slopes of images that were hardly seen near zero
 PASSES = 6  # of coordinate descent after each batch of observations
+KNOWN_EVIDENCE = 0.04  # about four reports beside a tenth of the processors
 UNKNOWN_LIKENESS = 0.4  # of services about which nothing was learnt
 MIN_TAIL_MS = 0.5  # reports are in whole milliseconds
 
@@ -96,6 +97,14 @@
         fit = self._fit_by_image.get(service_image)
         return fit.coefficients.get(backfill_image, 0.0) if fit else 0.0
 
+    def is_known(self, service_image: str, backfill_image: str) -> bool:
+        """Return whether enough was seen of a pair to rely on its slope."""
+        fit = self._fit_by_image.get(service_image)
+        if fit is None:
+            return False
+        evidence = fit.moments.get((backfill_image, backfill_image), 0.0)
+        return evidence >= KNOWN_EVIDENCE
+
     def likeness(self, first_image: str, second_image: str) -> float:
         """Return how alike two services answer to backfill, from 0 to 1."""
         if first_image == second_image:
--- a/savorydale/scheduler/housekeeping.py
+++ b/savorydale/scheduler/housekeeping.py
@@ -47,7 +47,8 @@
             self._summarized_at = now
             self._summarize()
             self._remove_old_states()
-            self._state.colocation.refresh(self._state.links)
+            waiting = self._waiting_backfill()
+            self._state.colocation.refresh(self._state.links, waiting)
         if now - self._learnt_at >= LEARNT_SECONDS:
             self._learnt_at = now
             self._keep_what_was_learnt()
@@ -67,6 +68,16 @@
             value = encode_summary(SummaryRow(pending[queue], now_ms))
             self._state.write(key, value)
 
+    def _waiting_backfill(self) -> collections.Counter[str]:
+        """Return the millicores of backfill that waits, by image."""
+        waiting: collections.Counter[str] = collections.Counter()
+        for job in self._state.ledger.job_by_id.values():
+            for step in job.begun_steps():
+                if step.spec.backfill and step.is_ready and not job.status.is_final:
+                    count = len(step.waiting_tasks())
+                    waiting[step.spec.image] += count * step.spec.cpu_millicores
+        return waiting
+
     def _keep_what_was_learnt(self) -> None:
         for image, fit in self._state.colocation.model.take_changed().items():
             key = tail_key(image)
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -16,6 +16,7 @@
     Candidate,
     PlacementContext,
     choose_worker,
+    is_busy,
     unused_millicores,
 )
 from savorydale.queueing.order import rank_step
@@ -149,6 +150,7 @@
             self._likenesses(step, candidates),
             now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
             self._service_headroom(step, candidates),
+            is_busy(candidates),
         )
         if step.spec.gang and len(tasks) < step.open_count:
             return  # members of the last run are still ending
@@ -162,6 +164,7 @@
             link.reserve(run)
             context.count_by_worker[link.worker] += 1
             if step.spec.backfill:
+                self._state.colocation.note_placement(link, step.spec)
                 speed = self._state.colocation.speed_of(link, step.spec)
                 context.speed_by_worker[link.worker] = speed
             chosen.append((task, run, link))
--- a/savorydale/tests/placement/choice_tests.py
+++ b/savorydale/tests/placement/choice_tests.py
@@ -11,6 +11,7 @@
     Candidate,
     PlacementContext,
     choose_worker,
+    is_busy,
     least_speed,
 )
 from savorydale.placement.headroom import ShortTaskDemand
@@ -104,7 +105,21 @@
         step, [make_candidate("w1")], speed_by_worker=slow, waited_seconds=10.0
     )
     assert chosen == "w1"
-    assert least_speed(0.0) > least_speed(2.0) > 0
+    assert least_speed(0.0, False) > least_speed(2.0, False) > 0
+
+
+def test_backfill_waits_while_all_are_busy_rather_than_disturb():
+    step = make_step(backfill=True)
+    context = {"speed_by_worker": {"w1": 0.1}, "waited_seconds": 60.0}
+    assert choose(step, [make_candidate("w1")], **context, is_busy=True) is None
+    assert choose(step, [make_candidate("w1")], **context, is_busy=False) == "w1"
+
+
+def test_workers_are_busy_when_most_processors_are_used():
+    assert is_busy([make_candidate("w1", used=7000), make_candidate("w2", used=5000)])
+    assert not is_busy([make_candidate("w1", used=7000), make_candidate("w2")])
+    services = {"used": 8000, "long_running": True}
+    assert not is_busy([make_candidate("w1", **services)])
 
 
 def test_headroom_follows_the_peak_and_decays():
--- /dev/null
+++ b/savorydale/tests/placement/colocation_tests.py
@@ -0,0 +1,101 @@
+"""Backfill tries unknown services in few places, and moves when it is stuck."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from savorydale.jobs.model import StepSpec, TaskId
+from savorydale.orders.interface import Resources
+from savorydale.orders.runs import Run, RunState, WorkerLoad
+from savorydale.placement.colocation import STUCK_SECONDS, TRIALS_PER_PAIR, Colocation
+from savorydale.tests.harness import on_virtual_time
+
+SERVICE = StepSpec(1, 4000, 1000, long_running=True, image="feed", latency_target_ms=18)
+BACKFILL = StepSpec(1, 2000, 1000, image="report", backfill=True)
+JOB_NUMBERS = itertools.count()
+
+
+@dataclasses.dataclass
+class FakeLink:
+    """What decisions about backfill read of a worker."""
+
+    worker: str
+    load: WorkerLoad = dataclasses.field(
+        default_factory=lambda: WorkerLoad(Resources(32_000, 128_000, 0))
+    )
+    run_by_task: dict = dataclasses.field(default_factory=dict)
+
+    def is_in_contact(self, now):
+        return True
+
+    def add(self, spec, **fields):
+        task = TaskId(f"{next(JOB_NUMBERS):016x}", 0, 0, 0)
+        run = Run(task, 1, spec, 0.0, state=RunState.ACTIVE, **fields)
+        self.run_by_task[task] = run
+        self.load.add(run)
+        return run
+
+
+def link_with_service(worker, spec=SERVICE):
+    link = FakeLink(worker)
+    link.add(spec)
+    return link
+
+
+def make_known(colocation, share=0.2, tail_ms=5.0):
+    for _ in range(20):
+        colocation.model.observe("feed", {"report": share}, tail_ms)
+        colocation.model.observe("feed", {}, 5.0)
+    colocation.model.fit()
+
+
+@on_virtual_time
+async def test_few_workers_try_an_unknown_pair_at_once():
+    colocation = Colocation()
+    links = [link_with_service(f"w{number}") for number in range(6)]
+    for link in links:
+        if colocation.speed_of(link, BACKFILL) > 0:
+            link.add(BACKFILL)
+            colocation.note_placement(link, BACKFILL)
+    assert sum(len(link.run_by_task) > 1 for link in links) == TRIALS_PER_PAIR
+
+
+@on_virtual_time
+async def test_a_trial_is_one_task_and_ends_with_time():
+    colocation = Colocation()
+    link, *others = [link_with_service(f"w{number}") for number in range(3)]
+    link.add(BACKFILL)
+    colocation.note_placement(link, BACKFILL)
+    assert colocation.speed_of(link, BACKFILL) == 0.0
+    colocation.note_placement(others[0], BACKFILL)
+    assert colocation.speed_of(others[1], BACKFILL) == 0.0
+    await asyncio.sleep(5.0)
+    assert colocation.speed_of(others[1], BACKFILL) == 1.0
+
+
+@on_virtual_time
+async def test_known_pairs_and_insensitive_services_need_no_trial():
+    colocation = Colocation()
+    batch = link_with_service("w0", SERVICE._replace(latency_target_ms=0))
+    link = link_with_service("w1")
+    for other in ("w8", "w9"):
+        colocation.note_placement(link_with_service(other), BACKFILL)
+    assert colocation.speed_of(link, BACKFILL) == 0.0
+    assert colocation.speed_of(batch, BACKFILL) == 1.0
+    make_known(colocation)
+    assert colocation.speed_of(link, BACKFILL) == 1.0
+
+
+@on_virtual_time
+async def test_a_stuck_run_moves_unless_it_would_lose_much():
+    colocation = Colocation()
+    link, other = link_with_service("w0"), FakeLink("w1")
+    fresh = link.add(BACKFILL, wanted_percent=0, progress_percent=10.0)
+    old = link.add(BACKFILL, wanted_percent=0, progress_percent=60.0)
+    saved = BACKFILL._replace(checkpointing=True)
+    kept = link.add(saved, wanted_percent=0, progress_percent=60.0)
+    await asyncio.sleep(STUCK_SECONDS + 1)
+    now = asyncio.get_running_loop().time()
+    moved = {move.run.task for move in colocation.choose_moves([link, other], now)}
+    assert moved == {fresh.task, kept.task}
+    assert old.task not in moved
