Keep the lease while loading, and keep planning from blocking the loop

Ruled out: too many calls (the holder idled 45% of the time two seconds before). Change: the lease is renewed while loading; strong VMs come first after a lapse too; the feed goes on from the loaded version and requests to cancel are taken in first; a round of planning takes 50 ms, and a third of the processor at most; what found no room is not asked for again in a round; the room for backfill is kept until a worker's load or report changes; among many workers sixty are compared; only what a worker has reported counts as standing still. processor_speed in the settings is renamed to processor_count, what it holds.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -181,7 +181,7 @@
         """Wait for the lease, schedule until it is lost, and wait again."""
         power = (
             self._config["vm"]["processor_share"]
-            * self._config["vm"]["processor_speed"]
+            * self._config["vm"]["processor_count"]
         )
         head_start = min(MAX_HEAD_START_SECONDS, HEAD_START_SECONDS / power)
         rng = random.Random(self._identity.incarnation)
--- a/savorydale/messages/schemas.py
+++ b/savorydale/messages/schemas.py
@@ -603,6 +603,13 @@
                                                               'among the entries.',
                                                'minLength': 1,
                                                'type': 'string'},
+                                      'processor_count': {'default': 1.0,
+                                                          'description': 'Cores of '
+                                                                         'which the VM '
+                                                                         'has that '
+                                                                         'share.',
+                                                          'exclusiveMinimum': 0,
+                                                          'type': 'number'},
                                       'processor_share': {'default': 1.0,
                                                           'description': 'Share of a '
                                                                          'core that '
@@ -610,11 +617,6 @@
                                                                          'may use.',
                                                           'exclusiveMinimum': 0,
                                                           'type': 'number'},
-                                      'processor_speed': {'default': 1.0,
-                                                          'description': 'Speed of '
-                                                                         'that core.',
-                                                          'exclusiveMinimum': 0,
-                                                          'type': 'number'},
                                       'zone': {'description': 'Availability zone of '
                                                               'this VM.',
                                                'minLength': 1,
--- a/savorydale/messages/vm_types.py
+++ b/savorydale/messages/vm_types.py
@@ -11,7 +11,7 @@
     zone: str
     ip: str
     processor_share: NotRequired[float]
-    processor_speed: NotRequired[float]
+    processor_count: NotRequired[float]
     memory_mb: NotRequired[int]
 
 
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -61,7 +61,7 @@
     Runs that are being stopped or whose state is unknown count in full. Backfill takes
     memory and accelerators, but only processors that other runs leave unused; it counts
     at the speed that it was given. ``services_by_image`` counts the services that have
-    a latency target, which backfill may disturb.
+    a latency target, which backfill may disturb. ``revision`` changes with the runs.
     """
 
     def __init__(self, capacity: Resources):
@@ -72,10 +72,12 @@
         self.memory_mb = 0
         self.accelerators = 0
         self.services_by_image: collections.Counter[str] = collections.Counter()
+        self.revision = 0
 
     def add(self, run: Run, sign: int = 1) -> None:
         """Count a run; ``sign`` -1 removes it."""
         spec = run.spec
+        self.revision += 1
         if spec.backfill:
             share = max(0, run.wanted_percent) / FULL_SPEED_PERCENT
             self.backfill_millicores += sign * spec.cpu_millicores * share
--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -55,8 +55,8 @@
 ) -> SchedulerLease:
     """Return the lease once this entry has acquired it.
 
-    ``head_start_seconds`` is waited before a vacant lease is taken, so that the VMs
-    with the most processors come first.
+    ``head_start_seconds`` is waited before the lease is taken, so that the VMs with the
+    most processors come first. The next life of the holder's process does not wait.
     """
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
@@ -75,7 +75,7 @@
             )
         lapsed = observation.has_lapsed(version, loop.time())
         if _may_acquire(current, identity, lapsed):
-            if current is None or current.holder is None:
+            if not _was_held_by(current, identity):
                 await asyncio.sleep(head_start_seconds)
             lease = await try_to_acquire(store, identity, current, version)
             if lease is not None:
@@ -92,5 +92,10 @@
 ) -> bool:
     if current is None or current.holder is None or lapsed:
         return True
-    # The holder was an earlier life of this process, which is gone.
-    return current.holder.vm == identity.vm
+    return _was_held_by(current, identity)
+
+
+def _was_held_by(current: LeaseRow | None, identity: EntryIdentity) -> bool:
+    """Return whether the holder is an earlier life of this process, which is gone."""
+    holder = current.holder if current is not None else None
+    return holder is not None and holder.vm == identity.vm
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -5,8 +5,9 @@
 of backfill finds workers where it disturbs nobody; backfill goes where it is fastest.
 """
 
+import zlib
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import StepProgress, Task
@@ -18,6 +19,7 @@
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # then takes less,
 BUSY_LEAST_SPEED = 0.3  # but no worker where it would hardly work, while all are busy
 BUSY_RATIO = 0.6  # used share of the workers' processors
+SAMPLE_WORKERS = 60  # of more workers, so many are compared for a task
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
 FAILED_THERE_PENALTY = 3.0
@@ -86,10 +88,33 @@
 def choose_worker(
     step: StepProgress,
     task: Task,
-    candidates: Iterable[Candidate],
+    candidates: Sequence[Candidate],
     context: PlacementContext,
 ) -> Candidate | None:
     """Return the best worker for a task, or ``None`` if none has room."""
+    spec = step.spec
+    is_choosy = spec.long_running or bool(spec.data_rack)
+    if len(candidates) > SAMPLE_WORKERS and not is_choosy:
+        sample = _sample(candidates, task)
+        chosen = _best_of(step, task, sample, context)
+        if chosen is not None:
+            return chosen
+    return _best_of(step, task, candidates, context)
+
+
+def _sample(candidates: Sequence[Candidate], task: Task) -> Sequence[Candidate]:
+    """Return some of many workers, others for each task: nearly as good as all."""
+    start = zlib.crc32(str(task.id).encode()) % len(candidates)
+    sample = candidates[start : start + SAMPLE_WORKERS]
+    return [*sample, *candidates[: SAMPLE_WORKERS - len(sample)]]
+
+
+def _best_of(
+    step: StepProgress,
+    task: Task,
+    candidates: Sequence[Candidate],
+    context: PlacementContext,
+) -> Candidate | None:
     spec = step.spec
     best: Candidate | None = None
     best_score = 0.0
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -33,6 +33,19 @@
     run: Run
 
 
+class BackfillRoom(NamedTuple):
+    """Room for backfill of one image on a worker, in shares of its processors.
+
+    ``share`` is what all of it may use, ``taken`` what it was given, ``unknown_pairs``
+    those of which too little is known. Valid for one ``revision`` of the worker's load.
+    """
+
+    revision: int
+    share: float
+    taken: float
+    unknown_pairs: tuple["ImagePair", ...]
+
+
 class ImagePair(NamedTuple):
     """A service's image and an image of backfill beside it."""
 
@@ -48,6 +61,7 @@
 MOVE_MAX_PROGRESS_PERCENT = 90.0  # later, a move costs more than it gains
 RESTART_MAX_PROGRESS_PERCENT = 30.0  # the same without a checkpoint
 TRIALS_PER_PAIR = 2  # workers that may try a pair at once, of which nothing is known
+WHOLE_WORKER = 1.0
 TRIAL_SECONDS = 2.5  # until the reports show what the trial did
 MOVES_PER_ROUND = 4
 
@@ -61,6 +75,7 @@
         self._demand_by_image: dict[str, float] = {}
         self._scarcity_by_worker: dict[str, float] = {}
         self._trial_end_by_worker: dict[ImagePair, dict[str, float]] = {}
+        self._rooms_by_worker: dict[str, dict[str, BackfillRoom]] = {}
 
     def on_report(self, link: WorkerLink) -> list[PaceChange]:
         """Take in a worker's report and return the speeds to change."""
@@ -69,6 +84,7 @@
         backfill = _backfill_on(link)
         now = asyncio.get_running_loop().time()
         pace.observe(self.model, services, backfill, now)
+        self._rooms_by_worker.pop(link.worker, None)
         return self.pace_changes(link)
 
     def pace_changes(self, link: WorkerLink) -> list[PaceChange]:
@@ -83,29 +99,41 @@
 
     def speed_of(self, link: WorkerLink, spec: StepSpec) -> float:
         """Return the speed that one more backfill task would have on a worker."""
-        pace = self._pace_of(link.worker)
-        if pace.has_breach:
+        room = self._room_for(link, spec.image)
+        if not self._may_try(link, room):
             return 0.0
         demand = _share(link, spec.cpu_millicores)
-        backfill = _backfill_on(link)
-        given = sum(use.demand for use in backfill if use.image == spec.image)
-        if not self._may_try(link, spec, given > 0):
-            return 0.0
-        backfill = [use for use in backfill if use.image != spec.image]
-        backfill.append(BackfillUse(spec.image, given + demand, 0.0))
-        shares = pace.allowed_shares(self.model, _services_on(link), backfill)
-        return max(0.0, min(1.0, (shares[spec.image] - given) / demand))
+        return max(0.0, min(1.0, (room.share - room.taken) / demand))
+
+    def _room_for(self, link: WorkerLink, image: str) -> BackfillRoom:
+        rooms = self._rooms_by_worker.setdefault(link.worker, {})
+        room = rooms.get(image)
+        if room is None or room.revision != link.load.revision:
+            room = rooms[image] = self._find_room(link, image)
+        return room
 
-    def _may_try(self, link: WorkerLink, spec: StepSpec, has_others: bool) -> bool:
+    def _find_room(self, link: WorkerLink, image: str) -> BackfillRoom:
+        pace = self._pace_of(link.worker)
+        backfill = _backfill_on(link)
+        taken = sum(use.demand for use in backfill if use.image == image)
+        share = 0.0
+        if not pace.has_breach:
+            backfill = [use for use in backfill if use.image != image]
+            backfill.append(BackfillUse(image, WHOLE_WORKER, 0.0))
+            services = _services_on(link)
+            share = pace.allowed_shares(self.model, services, backfill)[image]
+        unknown = tuple(self._unknown_pairs(link, image))
+        return BackfillRoom(link.load.revision, share, taken, unknown)
+
+    def _may_try(self, link: WorkerLink, room: BackfillRoom) -> bool:
         """Return whether a task may start beside services it was never seen with.
 
         Few workers try a pair of images at a time, each with one task, so that an image
         that disturbs services does so in few places before this is known.
         """
-        pairs = self._unknown_pairs(link, spec)
-        if not pairs:
+        if not room.unknown_pairs:
             return True
-        if has_others:
+        if room.taken > 0:
             return False
         now = asyncio.get_running_loop().time()
         return all(
@@ -115,20 +143,20 @@
                 if worker != link.worker
             )
             < TRIALS_PER_PAIR
-            for pair in pairs
+            for pair in room.unknown_pairs
         )
 
     def note_placement(self, link: WorkerLink, spec: StepSpec) -> None:
         """Note that a backfill task was placed; it may be a trial."""
         end = asyncio.get_running_loop().time() + TRIAL_SECONDS
-        for pair in self._unknown_pairs(link, spec):
+        for pair in self._unknown_pairs(link, spec.image):
             self._trial_end_by_worker.setdefault(pair, {})[link.worker] = end
 
-    def _unknown_pairs(self, link: WorkerLink, spec: StepSpec) -> list[ImagePair]:
+    def _unknown_pairs(self, link: WorkerLink, image: str) -> list[ImagePair]:
         return [
-            ImagePair(service, spec.image)
+            ImagePair(service, image)
             for service, count in link.load.services_by_image.items()
-            if count > 0 and not self.model.is_known(service, spec.image)
+            if count > 0 and not self.model.is_known(service, image)
         ]
 
     def scarcity_of(self, worker: str) -> float:
@@ -145,6 +173,7 @@
         backfill that waits for a worker, in millicores.
         """
         self.model.fit()
+        self._rooms_by_worker.clear()
         self._update_demand(links, waiting_by_image)
         harmless = {
             image: [link for link in links if self._is_harmless(link, image)]
--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -65,9 +65,11 @@
         return self.suspicion * 0.5**half_lives
 
 
-def find_stalled_runs(runs: list[Run], now: float) -> list[Run]:
-    """Return the runs on one worker that make no progress though they should."""
-    return [run for run in runs if _should_progress(run) and _is_still(run, now)]
+def find_stalled_runs(runs: list[Run], reported_at: float) -> list[Run]:
+    """Return the runs on one worker that made no progress until its latest report."""
+    return [
+        run for run in runs if _should_progress(run) and _is_still(run, reported_at)
+    ]
 
 
 def _should_progress(run: Run) -> bool:
@@ -78,7 +80,7 @@
     return not run.spec.backfill or run.wanted_percent >= MIN_SPEED_PERCENT
 
 
-def _is_still(run: Run, now: float) -> bool:
+def _is_still(run: Run, reported_at: float) -> bool:
     since = max(run.confirmed_at, run.progressed_at, run.paced_at)
     estimate = run.spec.estimate_ms / MILLISECONDS
-    return now - since >= max(STALL_SECONDS, STALL_ESTIMATE_RATIO * estimate)
+    return reported_at - since >= max(STALL_SECONDS, STALL_ESTIMATE_RATIO * estimate)
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -17,12 +17,15 @@
     PlacementContext,
     choose_worker,
     is_busy,
+    least_speed,
     unused_millicores,
 )
+from savorydale.placement.no_room import NoRoom
 from savorydale.queueing.order import rank_step
 from savorydale.scheduler.state import SchedulerState
 
 PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
+ROUND_SECONDS = 0.05
 MILLISECONDS = 1000
 
 log = logging.getLogger(__name__)
@@ -38,6 +41,13 @@
     ticket: str
 
 
+class Fleet(NamedTuple):
+    """The workers of a service that may get tasks, and whether most are used."""
+
+    candidates: list[Candidate]
+    is_busy: bool
+
+
 class Planner:
     """Places waiting tasks; the starts wait until the assignments are durable."""
 
@@ -62,9 +72,13 @@
         starts, self._starts = self._starts, []
         return starts
 
-    def plan(self) -> None:
-        """Place all tasks that are ready and find room."""
-        now = asyncio.get_running_loop().time()
+    def plan(self) -> bool:
+        """Place tasks that are ready and find room, the most urgent first.
+
+        Returns whether all were looked at; one round must not delay everything else.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         unix_ms = time.time() * MILLISECONDS + self._early_ms / 2
         steps = [
             step
@@ -74,18 +88,33 @@
         waiting = [(step, step.waiting_tasks()) for step in steps]
         waiting = [entry for entry in waiting if entry[1]]
         if not waiting:
-            return
+            return True
         self._observe_short_tasks(waiting, now)
         waiting.sort(key=lambda entry: rank_step(entry[0], now))
-        candidates_by_service: dict[str, list[Candidate]] = {}
+        fleet_by_service: dict[str, Fleet] = {}
+        no_room = NoRoom()
         for step, tasks in waiting:
+            if loop.time() - now > ROUND_SECONDS:
+                return False
             service = self._service_of(step.job.queue)
-            if service not in candidates_by_service:
-                candidates_by_service[service] = self._state.candidates(service, now)
-            candidates = candidates_by_service[service]
+            if service not in fleet_by_service:
+                fleet_by_service[service] = self._fleet_of(service, now)
+            fleet = fleet_by_service[service]
             if self._needs_advice(step):
-                candidates = self._advised(step, candidates, now)
-            self._place(step, tasks, candidates, now)
+                advised = self._advised(step, fleet.candidates, now)
+                self._place(step, tasks, fleet._replace(candidates=advised), now)
+                continue
+            waited = _seconds_waited(step, tasks, now)
+            speed = least_speed(waited, fleet.is_busy)
+            if no_room.covers(service, step.spec, speed):
+                continue
+            if not self._place(step, tasks, fleet, now):
+                no_room.add(service, step.spec, speed)
+        return True
+
+    def _fleet_of(self, service: str, now: float) -> Fleet:
+        candidates = self._state.candidates(service, now)
+        return Fleet(candidates, is_busy(candidates))
 
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
@@ -141,19 +170,21 @@
         self,
         step: StepProgress,
         tasks: list[Task],
-        candidates: list[Candidate],
+        fleet: Fleet,
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Place as many tasks of a step as find room; return whether all do."""
+        candidates = fleet.candidates
         context = PlacementContext(
             step.count_by_worker(),
             self._speeds(step, candidates),
             self._likenesses(step, candidates),
-            now - (min(task.waiting_since for task in tasks) or step.job.seen_at),
+            _seconds_waited(step, tasks, now),
             self._service_headroom(step, candidates),
-            is_busy(candidates),
+            fleet.is_busy,
         )
         if step.spec.gang and len(tasks) < step.open_count:
-            return  # members of the last run are still ending
+            return True  # members of the last run are still ending
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
             candidate = choose_worker(step, task, candidates, context)
@@ -171,11 +202,12 @@
         if step.spec.gang and len(chosen) < len(tasks):
             for _, run, link in chosen:
                 link.unreserve(run)
-            return
+            return False
         if step.spec.gang:
             self._align_gang(chosen)
         for task, run, link in chosen:
             self._assign(step, task, run, link)
+        return len(chosen) == len(tasks)
 
     def _service_headroom(
         self, step: StepProgress, candidates: list[Candidate]
@@ -239,3 +271,8 @@
                 "age": round(run.assigned_at - step.job.seen_at, 3),
             },
         )
+
+
+def _seconds_waited(step: StepProgress, tasks: list[Task], now: float) -> float:
+    """Return how long the first of a step's waiting tasks has waited."""
+    return now - (min(task.waiting_since for task in tasks) or step.job.seen_at)
--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -10,6 +10,8 @@
 from savorydale.placement.health import find_stalled_runs
 from savorydale.scheduler.state import SchedulerState
 
+LOOK_SECONDS = 0.25
+
 log = logging.getLogger(__name__)
 
 
@@ -19,9 +21,14 @@
     def __init__(self, state: SchedulerState, counters: Counters):
         self._state = state
         self._counters = counters
+        self._looked_at = 0.0
 
     def move(self) -> None:
-        """Stop all runs that should go on elsewhere."""
+        """Stop all runs that should go on elsewhere, if it is time to look again."""
+        now = asyncio.get_running_loop().time()
+        if now - self._looked_at < LOOK_SECONDS:
+            return
+        self._looked_at = now
         self._move_stuck_runs()
         self._empty_leaving_workers()
         self._leave_stalled_workers()
@@ -54,7 +61,10 @@
         for link in self._state.links:
             if not link.is_in_contact(now):
                 continue
-            stalled = find_stalled_runs(list(link.run_by_task.values()), now)
+            # Only what the worker has reported counts, not our own delays.
+            reported_at = link.contact_at or now
+            runs = list(link.run_by_task.values())
+            stalled = find_stalled_runs(runs, reported_at)
             if not stalled:
                 continue
             if self._state.health_of(link.worker).on_stall(now):
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 from savorydale.exceptions import RowFormatError
@@ -22,23 +23,28 @@
 from savorydale.scheduler.state import SchedulerState
 from savorydale.storage.rows import RowRange, RowStore, StoredRow
 
-LOAD_TIMEOUT_SECONDS = 2.0
+LOAD_TIMEOUT_SECONDS = 4.0
+ROWS_AT_ONCE = 20
 MILLISECONDS = 1000
 
 log = logging.getLogger(__name__)
 
 
-class Inheritance(NamedTuple):
-    """What a new holder takes over besides the state.
+class LoadedState(NamedTuple):
+    """What a new holder of the lease has read, besides the scheduler's state.
 
-    ``store_clock_offset_ms`` is the store's clock minus the loop's.
+    ``cancellations`` are the requests to cancel jobs; ``jobs_version`` is the version
+    after which the jobs table must be followed. ``store_clock_offset_ms`` is the
+    store's clock minus the loop's.
     """
 
     runs_by_worker: dict[str, list[Run]]
+    cancellations: tuple[StoredRow, ...]
+    jobs_version: int
     store_clock_offset_ms: float
 
 
-async def load_state(store: RowStore, state: SchedulerState, epoch: int) -> Inheritance:
+async def load_state(store: RowStore, state: SchedulerState, epoch: int) -> LoadedState:
     """Fill ``state`` from the store and return the runs that workers may hold.
 
     The lease was just acquired, so nobody else changes the progress of known jobs. Jobs
@@ -52,10 +58,13 @@
     jobs = await _read(store, JOBS_TABLE)
     now = loop.time()
     status_by_job = _load_states(state, states.rows)
-    for row in jobs.rows:
+    cancellations = tuple(
+        row for row in jobs.rows if row.name.key.endswith(CANCEL_SUFFIX)
+    )
+    async for row in _with_pauses(jobs.rows):
         if not row.name.key.endswith(CANCEL_SUFFIX):
             _load_job(state, row, status_by_job, now)
-    for row in steps.rows:
+    async for row in _with_pauses(steps.rows):
         _load_step(state, row)
     for row in learnt.rows:
         _load_learnt(state, row)
@@ -68,16 +77,25 @@
             "epoch": epoch,
             "jobs": len(state.ledger.job_by_id),
             "ended": len(state.ended_ms_by_job),
-            "seconds": round(now - started_at, 3),
+            "seconds": round(loop.time() - started_at, 3),
         },
     )
-    return Inheritance(runs_by_worker, jobs.now_ms - now * MILLISECONDS)
+    offset_ms = jobs.now_ms - now * MILLISECONDS
+    return LoadedState(runs_by_worker, cancellations, jobs.version, offset_ms)
 
 
 async def _read(store: RowStore, table: str) -> RowRange:
     return await store.read_range(table, timeout_seconds=LOAD_TIMEOUT_SECONDS)
 
 
+async def _with_pauses(rows: tuple[StoredRow, ...]) -> AsyncIterator[StoredRow]:
+    """Iterate over rows so that the lease is renewed meanwhile."""
+    for number, row in enumerate(rows):
+        if number % ROWS_AT_ONCE == 0:
+            await asyncio.sleep(0)
+        yield row
+
+
 def _load_states(
     state: SchedulerState, rows: tuple[StoredRow, ...]
 ) -> dict[str, JobStatus]:
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 from savorydale.counters import Counters
@@ -36,6 +37,7 @@
 from savorydale.storage.rows import RowStore, StoredRow
 
 COMMIT_LINGER_SECONDS = 0.015
+PAUSE_FOR_PLANNING_RATIO = 2.0  # planning takes a third of the processor at most
 FEED_WAIT_SECONDS = 1.0
 TICK_SECONDS = 0.1
 MILLISECONDS = 1000
@@ -99,20 +101,49 @@
         OverloadedError
             In an exception group, if this VM is too slow.
         """
-        inherited = await load_state(self._store, self._state, self._lease.epoch)
-        self._store_clock_offset_ms = inherited.store_clock_offset_ms
         async with asyncio.TaskGroup() as group:
+            async with self._lease_renewed():
+                loaded = await load_state(self._store, self._state, self._lease.epoch)
+            self._store_clock_offset_ms = loaded.store_clock_offset_ms
             self._group = group
-            for worker, runs in inherited.runs_by_worker.items():
+            for worker, runs in loaded.runs_by_worker.items():
                 self._restore_link(worker, runs)
             for info in list(self._info_by_worker.values()):
                 self._open_link(info)
+            feed = JobFeed(self)
+            feed.apply(loaded.cancellations, loaded.jobs_version)
             group.create_task(
-                follow_table(self._store, JOBS_TABLE, JobFeed(self), FEED_WAIT_SECONDS)
+                follow_table(
+                    self._store,
+                    JOBS_TABLE,
+                    feed,
+                    FEED_WAIT_SECONDS,
+                    loaded.jobs_version,
+                )
             )
             group.create_task(self._commit_loop())
             group.create_task(self._tick_loop())
 
+    @contextlib.asynccontextmanager
+    async def _lease_renewed(self) -> AsyncIterator[None]:
+        """Renew the lease until the end of the block, while nothing else is written."""
+        done = asyncio.Event()
+
+        async def renew() -> None:
+            # A commit is never cut short: its outcome would not be known.
+            while not done.is_set():
+                await self._lease.commit([])
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(RENEWAL_SECONDS):
+                        await done.wait()
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(renew())
+            try:
+                yield
+            finally:
+                done.set()
+
     # Workers
 
     def replace_workers(self, info_by_worker: dict[str, WorkerInfo]) -> None:
@@ -304,15 +335,20 @@
 
     async def _commit_loop(self) -> None:
         """Plan, make what was decided durable, and only then act on it."""
+        loop = asyncio.get_running_loop()
+        pause = 0.0
         while True:
             try:
                 async with asyncio.timeout(RENEWAL_SECONDS):
                     await self._wake.wait()
-                await asyncio.sleep(COMMIT_LINGER_SECONDS)
+                await asyncio.sleep(max(COMMIT_LINGER_SECONDS, pause))
             except TimeoutError:
                 pass  # nothing has happened; the lease must be renewed
             self._wake.clear()
-            self._planner.plan()
+            started_at = loop.time()
+            if not self._planner.plan():
+                self.wake()
+            pause = PAUSE_FOR_PLANNING_RATIO * (loop.time() - started_at)
             await self._commit()
 
     async def _commit(self) -> None:
--- a/savorydale/storage/follow.py
+++ b/savorydale/storage/follow.py
@@ -27,13 +27,17 @@
 
 
 async def follow_table(
-    store: RowStore, table: str, listener: TableListener, wait_seconds: float
+    store: RowStore,
+    table: str,
+    listener: TableListener,
+    wait_seconds: float,
+    version: int | None = None,
 ) -> None:
     """Keep ``listener`` up to date until cancelled.
 
-    ``wait_seconds`` bounds how long a silent connection goes unnoticed.
+    ``wait_seconds`` bounds how long a silent connection goes unnoticed. ``version`` is
+    that of a snapshot which the listener has; ``None`` if it has none.
     """
-    version: int | None = None
     reachable = True
     while True:
         try:
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -95,6 +95,7 @@
 
     def __init__(self, plan: Callable[[str, int], Plan], seed: int = 1):
         self.rng = random.Random(seed)
+        self.processor_counts: tuple[float, ...] = ()
         self._seed = seed
         self._lives = 0
         self.store = RowStoreStandin()
@@ -149,7 +150,12 @@
         """Start an entry's process."""
         config = parse_vm_config(
             {
-                "vm": {"name": name, "zone": "z1", "ip": "10.0.0.1"},
+                "vm": {
+                    "name": name,
+                    "zone": "z1",
+                    "ip": "10.0.0.1",
+                    "processor_count": self._processor_count(name),
+                },
                 "listen": {"callers": "10.0.0.1:80", "health": "10.0.0.1:81"},
                 "store": {"address": STORE},
                 "timing": {"lease_max_ms": LEASE_MAX_MS, "stop_grace_s": 0},
@@ -165,6 +171,10 @@
         self._task_by_entry[name] = asyncio.create_task(entry.work(stop))
         return entry
 
+    def _processor_count(self, name: str) -> float:
+        number = int(name.removeprefix("e"))
+        return self.processor_counts[number] if self.processor_counts else 1.0
+
     async def kill_entry(self, name: str) -> None:
         """End an entry's process without a word."""
         task = self._task_by_entry.pop(name)
@@ -256,9 +266,11 @@
     seed: int = 1,
     is_checked: bool = True,
     attempts: int = 2,
+    processor_counts: tuple[float, ...] = (),
 ) -> AsyncIterator[Branch]:
     """Start a branch; at the end, check that nothing forbidden was seen."""
     branch = Branch(plan, seed)
+    branch.processor_counts = processor_counts
     branch.configure(attempts=attempts)
     for number in range(workers):
         branch.add_worker(f"w{number}")
--- a/savorydale/tests/placement/choice_tests.py
+++ b/savorydale/tests/placement/choice_tests.py
@@ -128,3 +128,8 @@
     assert demand.room_per_worker(10) > 1000
     demand.observe(0, 60.0)
     assert demand.room_per_worker(10) < 100
+
+
+def test_among_many_workers_a_place_is_found_even_if_only_one_has_room():
+    full = [make_candidate(f"w{number}", used=8000) for number in range(300)]
+    assert choose(make_step(), [*full[:200], make_candidate("free"), *full]) == "free"
--- a/savorydale/tests/placement/colocation_tests.py
+++ b/savorydale/tests/placement/colocation_tests.py
@@ -83,6 +83,7 @@
     assert colocation.speed_of(link, BACKFILL) == 0.0
     assert colocation.speed_of(batch, BACKFILL) == 1.0
     make_known(colocation)
+    colocation.refresh([link, batch], {})
     assert colocation.speed_of(link, BACKFILL) == 1.0
 
 
--- /dev/null
+++ b/savorydale/tests/takeover_tests.py
@@ -0,0 +1,80 @@
+"""What a new holder of the lease does while it loads the state, and with it."""
+
+import asyncio
+import contextlib
+
+from savorydale.exceptions import StoreUnreachableError
+from savorydale.jobs.model import StepSpec
+from savorydale.jobs.rows import JOBS_TABLE, STEPS_TABLE, JobStatus
+from savorydale.storage.follow import SNAPSHOT_TIMEOUT_SECONDS
+from savorydale.tests.branch import open_branch
+from savorydale.tests.harness import on_virtual_time
+
+JOB = "00000000000000a1"
+STEP = StepSpec(3, 500, 100, estimate_ms=500)
+
+
+@contextlib.contextmanager
+def reads_changed(entry, change):
+    """Pass each read of a range by ``entry`` through ``change``."""
+    store = entry._store
+    read_range = store.read_range
+
+    async def changed(table, *keys, **options):
+        await change(table, options)
+        return await read_range(table, *keys, **options)
+
+    store.read_range = changed
+    yield
+    store.read_range = read_range
+
+
+def other_than_holder(branch):
+    return next(n for n in branch.entry_by_name if n != branch.scheduling_entry())
+
+
+@on_virtual_time
+async def test_cancelled_job_is_not_started_by_the_next_holder():
+    async def fail_snapshots(table, options):
+        is_feed = options["timeout_seconds"] == SNAPSHOT_TIMEOUT_SECONDS
+        if table == JOBS_TABLE and is_feed:
+            raise StoreUnreachableError("too slow")
+
+    async with open_branch() as branch:
+        other = other_than_holder(branch)
+        await branch.kill_entry(branch.scheduling_entry())
+        await branch.submit(other, JOB, STEP)
+        entry = branch.entry_by_name[other]
+        with reads_changed(entry, fail_snapshots):
+            await entry.desk.cancel(JOB, 2.0)
+            await asyncio.sleep(10)
+        assert not branch.violations.starts
+        assert await branch.status(other, JOB) is JobStatus.CANCELLED
+
+
+@on_virtual_time
+async def test_lease_is_renewed_while_the_state_is_loaded():
+    async def slow_down(table, options):
+        if table == STEPS_TABLE:
+            await asyncio.sleep(3.5)
+
+    async with open_branch(entries=3) as branch:
+        with contextlib.ExitStack() as stack:
+            for entry in branch.entry_by_name.values():
+                stack.enter_context(reads_changed(entry, slow_down))
+            other = other_than_holder(branch)
+            await branch.kill_entry(branch.scheduling_entry())
+            await branch.submit(other, JOB, STEP)
+            await branch.wait_for_status(other, JOB, JobStatus.COMPLETED, 9)
+
+
+@on_virtual_time
+async def test_the_strongest_vm_takes_over():
+    async with open_branch(entries=4, processor_counts=(4, 0.3, 0.3, 4)) as branch:
+        for _ in range(4):
+            holder = branch.scheduling_entry()
+            assert holder in ("e0", "e3")
+            await branch.kill_entry(holder)
+            await branch.wait_until(lambda h=holder: branch.scheduling_entry() != h, 5)
+            branch.start_entry(holder)
+            await asyncio.sleep(3)
