Relieve weak holders of the lease, place short tasks before services, soak real processes

Ruled out: stopping replicas of services for urgent tasks: the services say that none may be missed. Change: a VM with twice the processors relieves the holder; short tasks come before services of the same priority and fill the smallest gap while four fifths of the processors are reserved. Tests: takeover_tests, order_tests, choice_tests, each for its change.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -72,7 +72,9 @@
         self._is_stopping = False
         self._scheduler: JobScheduler | None = None
         self._lease: SchedulerLease | None = None
-        self._identity = EntryIdentity(config["vm"]["name"], incarnation)
+        vm = config["vm"]
+        cores = vm["processor_share"] * vm["processor_count"]
+        self._identity = EntryIdentity(vm["name"], incarnation, cores)
 
     # What callers and the balancer see
 
@@ -179,11 +181,9 @@
 
     async def _schedule_in_turn(self) -> None:
         """Wait for the lease, schedule until it is lost, and wait again."""
-        power = (
-            self._config["vm"]["processor_share"]
-            * self._config["vm"]["processor_count"]
+        head_start = min(
+            MAX_HEAD_START_SECONDS, HEAD_START_SECONDS / self._identity.cores
         )
-        head_start = min(MAX_HEAD_START_SECONDS, HEAD_START_SECONDS / power)
         rng = random.Random(self._identity.incarnation)
         while True:
             lease = await wait_for_lease(self._store, self._identity, rng, head_start)
--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -21,6 +21,7 @@
 LEASE_SECONDS = 2.0
 RENEWAL_SECONDS = 0.5
 POLL_GAP_SECONDS = 1.2  # longer gaps between polls start the observation anew
+STRONGER_RATIO = 2.0  # cores of a VM that relieves the holder, against the holder's
 
 log = logging.getLogger(__name__)
 
@@ -56,7 +57,9 @@
     """Return the lease once this entry has acquired it.
 
     ``head_start_seconds`` is waited before the lease is taken, so that the VMs with the
-    most processors come first. The next life of the holder's process does not wait.
+    most processors come first. The next life of the holder's process does not wait,
+    nor does a VM with twice the processors of the holder, whom it relieves at any time:
+    a weak VM cannot schedule for a large fleet.
     """
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
@@ -75,7 +78,7 @@
             )
         lapsed = observation.has_lapsed(version, loop.time())
         if _may_acquire(current, identity, lapsed):
-            if not _was_held_by(current, identity):
+            if not (_was_held_by(current, identity) or _relieves(current, identity)):
                 await asyncio.sleep(head_start_seconds)
             lease = await try_to_acquire(store, identity, current, version)
             if lease is not None:
@@ -92,7 +95,13 @@
 ) -> bool:
     if current is None or current.holder is None or lapsed:
         return True
-    return _was_held_by(current, identity)
+    return _was_held_by(current, identity) or _relieves(current, identity)
+
+
+def _relieves(current: LeaseRow | None, identity: EntryIdentity) -> bool:
+    """Return whether this VM is much stronger than the one that holds the lease."""
+    holder = current.holder if current is not None else None
+    return holder is not None and identity.cores >= STRONGER_RATIO * holder.cores
 
 
 def _was_held_by(current: LeaseRow | None, identity: EntryIdentity) -> bool:
--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -38,10 +38,11 @@
 
 
 class EntryIdentity(NamedTuple):
-    """One life of the process on one VM."""
+    """One life of the process on one VM; ``cores`` is what it may use of processors."""
 
     vm: str
     incarnation: str
+    cores: float = 1.0
 
 
 class LeaseRow(NamedTuple):
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -1,8 +1,9 @@
 """Choose the worker for one task.
 
-Answers three loads: tasks that reserve processors are spread to the worker with the
-most room; services that answer alike to backfill are kept together, so that each image
-of backfill finds workers where it disturbs nobody; backfill goes where it is fastest.
+Answers three loads. Tasks that reserve processors are spread to the worker with the
+most room, but fill the smallest gap while hardly any room is left. Services that answer
+alike to backfill are kept together, so that each image of backfill finds workers where
+it disturbs nobody. Backfill goes where it is fastest.
 """
 
 import zlib
@@ -19,6 +20,7 @@
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # then takes less,
 BUSY_LEAST_SPEED = 0.3  # but no worker where it would hardly work, while all are busy
 BUSY_RATIO = 0.6  # used share of the workers' processors
+FULL_RATIO = 0.8  # reserved share of the workers' processors
 SAMPLE_WORKERS = 60  # of more workers, so many are compared for a task
 REMOTE_PENALTY = 1.0
 SUSPECT_PENALTY = 2.0
@@ -50,7 +52,8 @@
     ``likeness_by_worker`` is how alike the services there answer to backfill.
     ``waited_seconds`` is how long the task has waited. ``service_headroom`` is what a
     service should leave free on its worker for short tasks, in millicores.
-    ``is_busy`` tells whether most of the workers' processors are used.
+    ``is_busy`` tells whether most of the workers' processors are used, ``is_full``
+    whether most are reserved.
     """
 
     count_by_worker: Counter[str]
@@ -59,6 +62,7 @@
     waited_seconds: float
     service_headroom: float = 0.0
     is_busy: bool = False
+    is_full: bool = False
 
 
 def unused_millicores(load: WorkerLoad) -> float:
@@ -75,6 +79,13 @@
     return capacity - unused >= BUSY_RATIO * capacity
 
 
+def is_full(candidates: Sequence[Candidate]) -> bool:
+    """Return whether hardly any processors of the workers are not reserved."""
+    capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
+    reserved = sum(candidate.load.cpu_millicores for candidate in candidates)
+    return reserved >= FULL_RATIO * capacity
+
+
 def least_speed(waited_seconds: float, is_busy: bool) -> float:
     """Return the speed below which backfill rather waits.
 
@@ -174,6 +185,8 @@
     elif spec.long_running:
         score = LIKENESS_BONUS * context.likeness_by_worker.get(candidate.worker, 0.0)
         score += 1 - load.cpu_millicores / capacity
+    elif context.is_full:
+        score = load.cpu_millicores / capacity  # keep larger gaps for larger tasks
     else:
         score = unused_ratio + 1 - load.cpu_millicores / capacity
     if spec.data_rack and spec.data_rack not in candidate.labels:
--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -1,6 +1,7 @@
 """In which order ready steps are placed.
 
-Answers overload: urgent queues first; within a queue, the earliest deadline first. A
+Answers overload: urgent queues first; among equals, short tasks before services, which
+hold what they get for long; within a queue, the earliest deadline first. A
 job that cannot meet its objective any more is still of some use until three times the
 objective, so that later time becomes its deadline and others that can still be on time
 go before it.
@@ -19,7 +20,7 @@
 
     is_useless: bool
     priority: int
-    is_short_lived: bool
+    is_service: bool
     deadline: float
 
 
@@ -56,5 +57,5 @@
         deadline = job.seen_at + USELESS_AFTER_OBJECTIVES * objective
         is_useless = now > deadline and not step.spec.long_running
     return PlacementRank(
-        is_useless, job.queue.priority, not step.spec.long_running, deadline
+        is_useless, job.queue.priority, step.spec.long_running, deadline
     )
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -17,6 +17,7 @@
     PlacementContext,
     choose_worker,
     is_busy,
+    is_full,
     least_speed,
     unused_millicores,
 )
@@ -42,10 +43,11 @@
 
 
 class Fleet(NamedTuple):
-    """The workers of a service that may get tasks, and whether most are used."""
+    """The workers of a service that may get tasks, and how loaded they are together."""
 
     candidates: list[Candidate]
     is_busy: bool
+    is_full: bool
 
 
 class Planner:
@@ -114,7 +116,7 @@
 
     def _fleet_of(self, service: str, now: float) -> Fleet:
         candidates = self._state.candidates(service, now)
-        return Fleet(candidates, is_busy(candidates))
+        return Fleet(candidates, is_busy(candidates), is_full(candidates))
 
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
@@ -182,6 +184,7 @@
             _seconds_waited(step, tasks, now),
             self._service_headroom(step, candidates),
             fleet.is_busy,
+            fleet.is_full,
         )
         if step.spec.gang and len(tasks) < step.open_count:
             return True  # members of the last run are still ending
--- a/savorydale/tests/placement/choice_tests.py
+++ b/savorydale/tests/placement/choice_tests.py
@@ -51,6 +51,11 @@
     assert choose(make_step(), candidates) == "w2"
 
 
+def test_the_smallest_gap_is_filled_while_hardly_any_room_is_left():
+    candidates = [make_candidate("w1", used=3000), make_candidate("w2", used=7000)]
+    assert choose(make_step(), candidates, is_full=True) == "w2"
+
+
 def test_no_worker_is_chosen_beyond_its_capacity():
     assert choose(make_step(), [make_candidate("w1", used=7500)]) is None
     assert choose(make_step(memory_mb=20000), [make_candidate("w1")]) is None
--- a/savorydale/tests/queueing/order_tests.py
+++ b/savorydale/tests/queueing/order_tests.py
@@ -55,6 +55,11 @@
     assert in_order(40.0, useless=useless, low=low) == ["low", "useless"]
 
 
+def test_short_tasks_come_before_services_that_hold_their_room():
+    steps = {"service": make_step(0.0, long_running=True), "short": make_step(1.0)}
+    assert in_order(1.0, **steps) == ["short", "service"]
+
+
 def test_services_are_never_of_no_use():
     service = make_step(0.0, long_running=True)
     assert not rank_step(service, 1000.0).is_useless
--- a/savorydale/tests/takeover_tests.py
+++ b/savorydale/tests/takeover_tests.py
@@ -9,6 +9,7 @@
 from savorydale.storage.follow import SNAPSHOT_TIMEOUT_SECONDS
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
+from standins.task_worker import Plan
 
 JOB = "00000000000000a1"
 STEP = StepSpec(3, 500, 100, estimate_ms=500)
@@ -29,6 +30,10 @@
     store.read_range = read_range
 
 
+def forever(task, run):
+    return Plan(None)
+
+
 def other_than_holder(branch):
     return next(n for n in branch.entry_by_name if n != branch.scheduling_entry())
 
@@ -68,6 +73,21 @@
             await branch.wait_for_status(other, JOB, JobStatus.COMPLETED, 9)
 
 
+@on_virtual_time
+async def test_a_strong_vm_relieves_a_weak_one_and_runs_go_on():
+    async with open_branch(forever, entries=2, processor_counts=(0.3, 2)) as branch:
+        await branch.kill_entry("e1")
+        await branch.wait_until(lambda: branch.scheduling_entry() == "e0", 5)
+        await asyncio.sleep(1.0)
+        await branch.submit("e0", JOB, STEP._replace(long_running=True))
+        await branch.wait_until(lambda: branch.violations.starts.total() == 3, 5)
+        branch.start_entry("e1")
+        await branch.wait_until(lambda: branch.scheduling_entry() == "e1", 3)
+        await asyncio.sleep(10)
+        assert branch.scheduling_entry() == "e1"
+        assert not branch.violations.ends
+
+
 @on_virtual_time
 async def test_the_strongest_vm_takes_over():
     async with open_branch(entries=4, processor_counts=(4, 0.3, 0.3, 4)) as branch:
--- a/savorydale/tests/violations.py
+++ b/savorydale/tests/violations.py
@@ -65,6 +65,10 @@
         if self._worker_by_task.get(task) == worker:
             del self._worker_by_task[task]
 
+    def running(self, job: str) -> int:
+        """Return how many tasks of a job run."""
+        return sum(task.startswith(job) for task in self._worker_by_task)
+
     def check_outcome(
         self, job: str, status: JobStatus | None, is_cancelled: bool
     ) -> None:
--- /dev/null
+++ b/standins/entry_process.py
@@ -0,0 +1,92 @@
+"""A process of savorydale on loopback, with a settings file of its own."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+
+STOP_GRACE_SECONDS = 2
+
+SETTINGS = """
+[vm]
+name = "{name}"
+zone = "z1"
+ip = "127.0.0.1"
+
+[listen]
+callers = "127.0.0.1:{callers}"
+health = "127.0.0.1:{health}"
+metrics_port = {metrics}
+
+[store]
+address = "{store}"
+
+[timing]
+lease_max_ms = {lease_max_ms}
+stop_grace_s = {stop_grace_s}
+"""
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class EntryProcess:
+    """One process of savorydale, with its settings file and log."""
+
+    def __init__(self, name: str, store: str, folder: pathlib.Path, lease_max_ms: int):
+        self.name = name
+        self.callers = free_port()
+        self._health = free_port()
+        self._settings = folder / f"{name}.toml"
+        self.log = folder / f"{name}.log"
+        self._settings.write_text(
+            SETTINGS.format(
+                name=name,
+                callers=self.callers,
+                health=self._health,
+                metrics=free_port(),
+                store=store,
+                lease_max_ms=lease_max_ms,
+                stop_grace_s=STOP_GRACE_SECONDS,
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "savorydale",
+                "serve-jobs",
+                "--config",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    async def end(self, number: signal.Signals) -> None:
+        """Send a signal and wait for the end."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.process.send_signal(number)
+        await self.process.wait()
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Return whether the balancer would use this entry."""
+        url = f"http://127.0.0.1:{self._health}/-/readiness"
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
--- a/standins/jobs_day.py
+++ b/standins/jobs_day.py
@@ -7,10 +7,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -18,6 +16,7 @@
 
 import aiohttp
 
+from standins.entry_process import EntryProcess, free_port
 from standins.row_store import RowStoreStandin
 from standins.serve import serve
 from standins.task_worker import Plan, TaskWorkerStandin
@@ -32,85 +31,6 @@
 HOST = "desk.example"
 SERVICE_JOB = f"{0xFEED:016x}"
 
-SETTINGS = """
-[vm]
-name = "{name}"
-zone = "z1"
-ip = "127.0.0.1"
-
-[listen]
-callers = "127.0.0.1:{callers}"
-health = "127.0.0.1:{health}"
-metrics_port = {metrics}
-
-[store]
-address = "{store}"
-
-[timing]
-lease_max_ms = {lease_max_ms}
-stop_grace_s = 2
-"""
-
-
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class EntryProcess:
-    """One process of savorydale, with its settings file and log."""
-
-    def __init__(self, name: str, store: str, folder: pathlib.Path):
-        self.name = name
-        self.callers = free_port()
-        self._health = free_port()
-        self._settings = folder / f"{name}.toml"
-        self.log = folder / f"{name}.log"
-        self._settings.write_text(
-            SETTINGS.format(
-                name=name,
-                callers=self.callers,
-                health=self._health,
-                metrics=free_port(),
-                store=store,
-                lease_max_ms=LEASE_MAX_MS,
-            )
-        )
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Start the process."""
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "savorydale",
-                "serve-jobs",
-                "--config",
-                str(self._settings),
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
-            )
-
-    async def end(self, number: signal.Signals) -> None:
-        """Send a signal and wait for the end."""
-        if self.process is None or self.process.returncode is not None:
-            return
-        self.process.send_signal(number)
-        await self.process.wait()
-
-    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
-        """Return whether the balancer would use this entry."""
-        url = f"http://127.0.0.1:{self._health}/-/readiness"
-        try:
-            async with session.get(url) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
-
 
 class Day:
     """The stand-ins and processes of one day."""
@@ -143,7 +63,9 @@
             store = await stack.enter_async_context(serve(self.store, free_port()))
             session = await stack.enter_async_context(aiohttp.ClientSession())
             for number in range(ENTRIES):
-                self.entries.append(EntryProcess(f"e{number}", store, self._folder))
+                self.entries.append(
+                    EntryProcess(f"e{number}", store, self._folder, LEASE_MAX_MS)
+                )
             try:
                 for entry in self.entries:
                     await entry.start()
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -49,12 +49,14 @@
         plan: Callable[[str, int], Plan],
         on_start: Callable[[str, str, int], None] = lambda *_: None,
         on_end: Callable[[str, str, int, str], None] = lambda *_: None,
+        clock_rate: float = 1.0,
     ):
         self.worker = worker
         self.lease_max_ms = lease_max_ms
         self.plan = plan
         self.on_start = on_start
         self.on_end = on_end
+        self.clock_rate = clock_rate
         self.born = 0
         self.is_up = True
         self.is_stalled = False
@@ -83,8 +85,9 @@
 
     @property
     def clock_ms(self) -> int:
-        """Return the worker's steady clock."""
-        return int((asyncio.get_running_loop().time() - self._born_at) * 1000)
+        """Return the worker's steady clock, which may be fast or slow."""
+        elapsed = asyncio.get_running_loop().time() - self._born_at
+        return int(elapsed * 1000 * self.clock_rate)
 
     def registration(
         self, address: str, service: str, labels: list[str], state: str = "ready"
