Give services their replicas in turn

Change: replicas are ranked one by one, by the share of their service that has a worker already. Test: order_tests, the new case.

--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -7,20 +7,26 @@
 go before it.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorydale.jobs.ledger import JobProgress, StepProgress
+from savorydale.jobs.ledger import JobProgress, StepProgress, Task
 from savorydale.jobs.model import MILLISECONDS_PER_SECOND, JobSpec
 
 USELESS_AFTER_OBJECTIVES = 3.0
 
 
 class PlacementRank(NamedTuple):
-    """Sorts steps; the smallest comes first. Times are in seconds."""
+    """Sorts steps; the smallest comes first. Times are in seconds.
+
+    ``placed_ratio`` is the share of a service's replicas that have a worker, so that
+    all services get some replicas before one gets all; 0 for other steps.
+    """
 
     is_useless: bool
     priority: int
     is_service: bool
+    placed_ratio: float
     deadline: float
 
 
@@ -56,6 +62,21 @@
     if now + longest_chain_seconds(job.row.spec, done) > deadline:
         deadline = job.seen_at + USELESS_AFTER_OBJECTIVES * objective
         is_useless = now > deadline and not step.spec.long_running
+    placed_ratio = 0.0
+    if step.spec.long_running:
+        waiting = len(step.waiting_tasks())
+        placed_ratio = 1 - waiting / step.spec.task_count
     return PlacementRank(
-        is_useless, job.queue.priority, step.spec.long_running, deadline
+        is_useless, job.queue.priority, step.spec.long_running, placed_ratio, deadline
     )
+
+
+def rank_replicas(
+    step: StepProgress, tasks: Sequence[Task], now: float
+) -> list[tuple[PlacementRank, Task]]:
+    """Return the rank of each waiting replica of a service."""
+    rank = rank_step(step, now)
+    return [
+        (rank._replace(placed_ratio=rank.placed_ratio + n / step.spec.task_count), task)
+        for n, task in enumerate(tasks)
+    ]
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -22,7 +22,7 @@
     unused_millicores,
 )
 from savorydale.placement.no_room import NoRoom
-from savorydale.queueing.order import rank_step
+from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.state import SchedulerState
 
 PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
@@ -92,10 +92,9 @@
         if not waiting:
             return True
         self._observe_short_tasks(waiting, now)
-        waiting.sort(key=lambda entry: rank_step(entry[0], now))
         fleet_by_service: dict[str, Fleet] = {}
         no_room = NoRoom()
-        for step, tasks in waiting:
+        for _, step, tasks in _in_order(waiting, now):
             if loop.time() - now > ROUND_SECONDS:
                 return False
             service = self._service_of(step.job.queue)
@@ -276,6 +275,20 @@
         )
 
 
+def _in_order(
+    waiting: list[tuple[StepProgress, list[Task]]], now: float
+) -> list[tuple[PlacementRank, StepProgress, list[Task]]]:
+    """Return what waits, the most urgent first: steps, and replicas one by one."""
+    entries = []
+    for step, tasks in waiting:
+        if step.spec.long_running and not step.spec.gang:
+            ranks = rank_replicas(step, tasks, now)
+            entries += [(rank, step, [task]) for rank, task in ranks]
+        else:
+            entries.append((rank_step(step, now), step, tasks))
+    return sorted(entries, key=lambda entry: entry[0])
+
+
 def _seconds_waited(step: StepProgress, tasks: list[Task], now: float) -> float:
     """Return how long the first of a step's waiting tasks has waited."""
     return now - (min(task.waiting_since for task in tasks) or step.job.seen_at)
--- a/savorydale/tests/queueing/order_tests.py
+++ b/savorydale/tests/queueing/order_tests.py
@@ -3,7 +3,7 @@
 from savorydale.jobs.ledger import JobProgress
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
 from savorydale.jobs.rows import JobRow, JobStatus
-from savorydale.queueing.order import longest_chain_seconds, rank_step
+from savorydale.queueing.order import longest_chain_seconds, rank_replicas, rank_step
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 2.0, 1000.0)
 URGENT = QUEUE._replace(priority=0)
@@ -60,6 +60,17 @@
     assert in_order(1.0, **steps) == ["short", "service"]
 
 
+def test_services_get_their_replicas_in_turn():
+    first, second = make_step(0.0, long_running=True), make_step(1.0, long_running=True)
+    replicas = [
+        (rank, name)
+        for name, step in (("first", first), ("second", second))
+        for rank, _ in rank_replicas(step, [step.tasks[0]] * 2, 1.0)
+    ]
+    names = [name for _, name in sorted(replicas)]
+    assert names == ["first", "second", "first", "second"]
+
+
 def test_services_are_never_of_no_use():
     service = make_step(0.0, long_running=True)
     assert not rank_step(service, 1000.0).is_useless
