Take a worker's lease clock out of its link; log the end of a process

Cause: worker_link.py held orders, lists and the arithmetic of leases in 473 lines; a stopped process wrote no last line, so a slow stop could not be told from a killed one. Change: LeaseClock (lease_clock.py) follows the worker's clock and the latest lease end; 'entry has stopped' is the last line.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -98,6 +98,7 @@
         async with self._servers():
             log.info("entry serves")
             await self.work(stop)
+        log.info("entry has stopped")
 
     async def work(self, stop: asyncio.Event) -> None:
         """Follow the configuration and schedule in turn until ``stop`` is set."""
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -26,6 +26,7 @@
     WorkerOrders,
     WorkerTarget,
 )
+from savorydale.orders.lease_clock import LeaseClock
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
 
 HOLD_WAIT_MS = 500
@@ -34,9 +35,6 @@
 CONTACT_SECONDS = 2.0  # a few holds may fail before a worker gets no more starts
 STOP_RETRY_SECONDS = 1.0
 CONCURRENT_ORDERS = 2
-CLOCK_DRIFT = 0.02  # a worker's steady clock may be this much slow
-LAPSE_MARGIN_SECONDS = 0.2
-UNHEARD_LAPSE_MARGIN_SECONDS = 1.0
 TOKENS_PER_EPOCH = 1_000_000
 MILLISECONDS = 1000
 
@@ -83,13 +81,9 @@
         self._orders = orders
         self._listener = listener
         self._token = epoch * TOKENS_PER_EPOCH
-        self._lease_max_ms = lease_max_ms
+        self._lease_clock = LeaseClock(lease_max_ms)
         self._counters = counters
-        self._clock_ms: int | None = None
-        self._clock_at = 0.0
-        self._lease_end_ms = 0
-        self._created_at = asyncio.get_running_loop().time()
-        self._info_at = self._created_at
+        self._info_at = asyncio.get_running_loop().time()
         self._slots = asyncio.Semaphore(CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._asks_at_once = True
@@ -149,35 +143,15 @@
         run.paced_at = asyncio.get_running_loop().time()
         self._spawn(self._throttle(run, percent))
 
-    # Time
-
-    def lapse_at(self) -> float:
-        """Return when every lease ever asked for on this worker has surely ended."""
-        if self._clock_ms is None:
-            longest = self._lease_max_ms / MILLISECONDS / (1 - CLOCK_DRIFT)
-            return self._created_at + longest + UNHEARD_LAPSE_MARGIN_SECONDS
-        left_ms = max(0, self._lease_end_ms - self._clock_ms)
-        left = left_ms / MILLISECONDS / (1 - CLOCK_DRIFT)
-        return self._clock_at + left + LAPSE_MARGIN_SECONDS
-
     def _next_lease_end(self) -> int | None:
         """Return the lease end to ask for, ``None`` to leave it as it is.
 
         A worker that does not answer gets no longer lease: the order may arrive all the
         same, and its tasks could not be started elsewhere before that lease has ended.
         """
-        now = asyncio.get_running_loop().time()
-        if self._clock_ms is None or not self.is_in_contact(now):
+        if not self.is_in_contact(asyncio.get_running_loop().time()):
             return None
-        elapsed = now - self._clock_at
-        clock_ms = self._clock_ms + elapsed * MILLISECONDS
-        end_ms = int(clock_ms + self._lease_max_ms)
-        self._lease_end_ms = max(self._lease_end_ms, end_ms)
-        return end_ms
-
-    def _note_clock(self, clock_ms: int) -> None:
-        self._clock_ms = clock_ms
-        self._clock_at = asyncio.get_running_loop().time()
+        return self._lease_clock.next_lease_end_ms()
 
     # The worker's own task
 
@@ -197,7 +171,7 @@
         """Return whether the worker is gone and holds nothing."""
         now = asyncio.get_running_loop().time()
         gone = not self.is_registered and not self.is_in_contact(now)
-        return gone and not self.run_by_task and now >= self.lapse_at()
+        return gone and not self.run_by_task and now >= self._lease_clock.lapse_at()
 
     async def _hold_once(self) -> None:
         loop = asyncio.get_running_loop()
@@ -262,7 +236,7 @@
                 ),
             )
         self.contact_at = now
-        self._note_clock(held.clock_ms)
+        self._lease_clock.note_clock(held.clock_ms)
         self._take_in_ends(held.ended)
         active_by_task = {active.task: active for active in held.active}
         for run in list(self.run_by_task.values()):
@@ -313,7 +287,7 @@
         log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
         self.processed = 0
         self.acknowledged = 0
-        self._lease_end_ms = 0
+        self._lease_clock.begin_new_life()
         self._token += 1
         for run in self.run_by_task.values():
             if run.state is RunState.ACTIVE and run.confirmed_at < sent_at:
@@ -333,7 +307,7 @@
         return self.acknowledged
 
     def _give_up_lapsed(self, now: float) -> None:
-        if self.is_in_contact(now) or now < self.lapse_at():
+        if self.is_in_contact(now) or now < self._lease_clock.lapse_at():
             return
         for run in list(self.run_by_task.values()):
             self._lose(run, "lease lapsed")
