Count the disturbances of an entry in the process soak

A graceful stop reached an interpreter that was still starting, before its signal handlers; no line 'entry stops', and it served nobody. The check should not have looked at it: another fault that ended meanwhile had cleared the flag that the entry was disturbed. Ruled out: a stop of a serving process that ends badly, since each of those writes 'entry stops'. Change: disturbances are counted, and the exit code is checked for a process that listens.

--- a/savorydale/tests/process_soak.py
+++ b/savorydale/tests/process_soak.py
@@ -14,7 +14,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -88,9 +88,23 @@
         self.store = store
         self.store_link = link
         self.callers_link = FaultyLink(f"127.0.0.1:{process.callers}")
-        self.is_disturbed = False
         self.is_expected_down = False
         self.routes_seen = 0
+        self._disturbances = 0
+
+    @property
+    def is_disturbed(self) -> bool:
+        """Return whether its callers may lose answers by a fault, or did lately."""
+        return self._disturbances > 0
+
+    @contextlib.contextmanager
+    def disturbed(self) -> Iterator[None]:
+        """Note that a fault disturbs the entry's callers during the block."""
+        self._disturbances += 1
+        try:
+            yield
+        finally:
+            self._disturbances -= 1
 
 
 class Soak:
@@ -372,10 +386,9 @@
 
     async def _link_to_callers(self) -> None:
         entry = self.rng.choice(self.entries)
-        entry.is_disturbed = True
-        await self._break_link(entry.callers_link)
-        await asyncio.sleep(CALL_SECONDS)
-        entry.is_disturbed = False
+        with entry.disturbed():
+            await self._break_link(entry.callers_link)
+            await asyncio.sleep(CALL_SECONDS)
 
     async def _store_misbehaves(self) -> None:
         entries = self.rng.choice((self.entries, [self.rng.choice(self.entries)]))
@@ -419,22 +432,23 @@
     async def _kill_entries(self) -> None:
         entries = self.rng.choice((self.entries, [self.rng.choice(self.entries)]))
         entries = [entry for entry in entries if not entry.is_expected_down]
-        for entry in entries:
-            await self._kill(entry)
-        await asyncio.sleep(self._seconds() / 4)
-        for entry in entries:
-            await self._restart(entry)
+        with contextlib.ExitStack() as stack:
+            for entry in entries:
+                stack.enter_context(entry.disturbed())
+                await self._kill(entry)
+            await asyncio.sleep(self._seconds() / 4)
+            for entry in entries:
+                await self._start_again(entry)
+            await asyncio.sleep(CALL_SECONDS)
 
     async def _kill(self, entry: Entry) -> None:
-        entry.is_disturbed = entry.is_expected_down = True
+        entry.is_expected_down = True
         await entry.process.end(signal.SIGKILL)
 
-    async def _restart(self, entry: Entry) -> None:
+    async def _start_again(self, entry: Entry) -> None:
         entry.routes_seen = 0
         await entry.process.start()
         entry.is_expected_down = False
-        await asyncio.sleep(CALL_SECONDS)
-        entry.is_disturbed = False
 
     async def _stop_entry(self) -> None:
         """Stop an entry gracefully; it must answer what it has read and end well."""
@@ -443,7 +457,9 @@
         if entry.is_expected_down or process is None:
             return
         entry.is_expected_down = True
-        was_disturbed = entry.is_disturbed
+        # A signal before the first port is open ends an interpreter that still starts.
+        serves = await _listens(entry.process.callers)
+        was_disturbed = entry.is_disturbed or not serves
         try:
             async with asyncio.timeout(STOP_GRACE_SECONDS + STOP_MARGIN_SECONDS):
                 await entry.process.end(signal.SIGTERM)
@@ -452,21 +468,21 @@
         if process.returncode != 0 and not (was_disturbed or entry.is_disturbed):
             code = process.returncode
             self.violations.found.append(f"{entry.process.name} ended with {code}")
-        entry.is_disturbed = True
-        await self._restart(entry)
+        with entry.disturbed():
+            await self._start_again(entry)
+            await asyncio.sleep(CALL_SECONDS)
 
     async def _pause_entry(self) -> None:
         entry = self.rng.choice(self.entries)
         if entry.is_expected_down or entry.process.process is None:
             return
-        entry.is_disturbed = True
-        with contextlib.suppress(ProcessLookupError):
-            entry.process.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._seconds())
-        with contextlib.suppress(ProcessLookupError):
-            entry.process.process.send_signal(signal.SIGCONT)
-        await asyncio.sleep(CALL_SECONDS)
-        entry.is_disturbed = False
+        with entry.disturbed():
+            with contextlib.suppress(ProcessLookupError):
+                entry.process.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._seconds())
+            with contextlib.suppress(ProcessLookupError):
+                entry.process.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(CALL_SECONDS)
 
     async def _hang_up_entry(self) -> None:
         entry = self.rng.choice(self.entries)
@@ -510,6 +526,15 @@
         return JobStatus(body["state"]) if body and "state" in body else None
 
 
+async def _listens(port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def _wire_step(step: StepSpec) -> dict[str, Any]:
     """Return a step as callers write it."""
     fields = {
