Let services that have waited go before short tasks

For all that time 40 to 160 short tasks waited and took each gap first, while 10 to 35 cores were free between two of them. Callers of the service would have been starved as well. Ruled out: the memo of refusals (a refused smaller replica means fewer than two places for a larger one too); ranks by replica; rounds cut short. Change: at equal priority a service that has waited 1.5 s goes first, then short tasks, then services that have just come. Test: order_tests, the new case.

--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -1,19 +1,30 @@
 """In which order ready steps are placed.
 
 Answers overload: urgent queues first; among equals, short tasks before services, which
-hold what they get for long; within a queue, the earliest deadline first. A
+hold what they get for long, but not before services that have waited for a while, or a
+steady flow of short tasks would starve them; then the earliest deadline first. A
 job that cannot meet its objective any more is still of some use until three times the
 objective, so that later time becomes its deadline and others that can still be on time
 go before it.
 """
 
 from collections.abc import Sequence
+from enum import IntEnum
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import JobProgress, StepProgress, Task
 from savorydale.jobs.model import MILLISECONDS_PER_SECOND, JobSpec
 
 USELESS_AFTER_OBJECTIVES = 3.0
+SERVICE_PATIENCE_SECONDS = 1.5
+
+
+class Turn(IntEnum):
+    """Whose turn it is among steps of the same priority."""
+
+    OVERDUE_SERVICE = 0
+    TASK = 1
+    NEW_SERVICE = 2
 
 
 class PlacementRank(NamedTuple):
@@ -25,7 +36,7 @@
 
     is_useless: bool
     priority: int
-    is_service: bool
+    turn: Turn
     placed_ratio: float
     deadline: float
 
@@ -62,13 +73,15 @@
     if now + longest_chain_seconds(job.row.spec, done) > deadline:
         deadline = job.seen_at + USELESS_AFTER_OBJECTIVES * objective
         is_useless = now > deadline and not step.spec.long_running
+    turn = Turn.TASK
     placed_ratio = 0.0
     if step.spec.long_running:
-        waiting = len(step.waiting_tasks())
-        placed_ratio = 1 - waiting / step.spec.task_count
-    return PlacementRank(
-        is_useless, job.queue.priority, step.spec.long_running, placed_ratio, deadline
-    )
+        waiting = step.waiting_tasks()
+        since = min((task.waiting_since for task in waiting), default=now)
+        is_overdue = now - (since or job.seen_at) >= SERVICE_PATIENCE_SECONDS
+        turn = Turn.OVERDUE_SERVICE if is_overdue else Turn.NEW_SERVICE
+        placed_ratio = 1 - len(waiting) / step.spec.task_count
+    return PlacementRank(is_useless, job.queue.priority, turn, placed_ratio, deadline)
 
 
 def rank_replicas(
--- a/savorydale/tests/queueing/order_tests.py
+++ b/savorydale/tests/queueing/order_tests.py
@@ -60,6 +60,11 @@
     assert in_order(1.0, **steps) == ["short", "service"]
 
 
+def test_a_steady_flow_of_short_tasks_does_not_starve_services():
+    steps = {"service": make_step(0.0, long_running=True), "short": make_step(2.0)}
+    assert in_order(2.0, **steps) == ["service", "short"]
+
+
 def test_services_get_their_replicas_in_turn():
     first, second = make_step(0.0, long_running=True), make_step(1.0, long_running=True)
     replicas = [
--- a/standins/entry_process.py
+++ b/standins/entry_process.py
@@ -1,8 +1,10 @@
 """A process of savorydale on loopback, with a settings file of its own."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -10,6 +12,7 @@
 import aiohttp
 
 STOP_GRACE_SECONDS = 2
+LISTENING_PORTS = (10_000, 32_000)  # below those of outgoing connections
 
 SETTINGS = """
 [vm]
@@ -32,10 +35,12 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody listens on, nor takes for an outgoing connection."""
+    while True:
+        port = random.randrange(*LISTENING_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class EntryProcess:
