Log what rounds of planning reached and refused, and how old ended jobs are

Cause: the logs could not tell apart steps that a round of planning did not reach and steps that found no worker, nor whether a job ended in time for its size. Change: one line 'planning' a second (rounds, cut rounds, steps not reached, refusals by kind and reason), and age, objective and estimated work on 'job ended'. No decision changes.

--- a/savorydale/jobs/model.py
+++ b/savorydale/jobs/model.py
@@ -71,6 +71,12 @@
     backfill: bool = False
     max_unavailable: int | None = None
 
+    @property
+    def core_seconds(self) -> float:
+        """Return the estimated work of all tasks."""
+        per_task = self.cpu_millicores * self.estimate_ms / MILLISECONDS_PER_SECOND**2
+        return self.task_count * per_task
+
     @property
     def kind(self) -> "StepKind":
         """Return which load the tasks belong to."""
@@ -101,6 +107,11 @@
     interval_ms: int = 0
     occurrence_count: int = 0
 
+    @property
+    def core_seconds(self) -> float:
+        """Return the estimated work of one occurrence."""
+        return sum(step.core_seconds for step in self.steps)
+
     @property
     def is_scheduled(self) -> bool:
         """Return whether the job has occurrences by time."""
--- a/savorydale/scheduler/load_report.py
+++ b/savorydale/scheduler/load_report.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import JobProgress
 from savorydale.jobs.model import StepKind
 from savorydale.orders.runs import Run, RunState
+from savorydale.scheduler.planning_tally import PlanningTally
 from savorydale.scheduler.state import SchedulerState
 
 REPORT_SECONDS = 1.0
@@ -34,8 +37,9 @@
 class LoadReport:
     """Compares the fleet's load with what was logged before."""
 
-    def __init__(self, state: SchedulerState):
+    def __init__(self, state: SchedulerState, take_tally: Callable[[], PlanningTally]):
         self._state = state
+        self._take_tally = take_tally
         self._reported_at = 0.0
         self._count_by_job: dict[str, ReplicaCount] = {}
 
@@ -46,6 +50,7 @@
             return
         self._reported_at = now
         self._report_fleet(now)
+        self._report_planning()
         self._report_services()
 
     def _report_fleet(self, now: float) -> None:
@@ -64,6 +69,14 @@
             },
         )
 
+    def _report_planning(self) -> None:
+        tally = self._take_tally()
+        if not tally.rounds:
+            return
+        counts = dataclasses.asdict(tally)
+        counts["seconds"] = round(tally.seconds, 3)
+        log.info("planning", extra=counts)
+
     def _count_waiting(self) -> dict[StepKind, int]:
         """Return the tasks that could start now, by kind."""
         count_by_kind: collections.Counter[StepKind] = collections.Counter()
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -23,6 +23,7 @@
 )
 from savorydale.placement.no_room import NoRoom
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
+from savorydale.scheduler.planning_tally import PlanningTally
 from savorydale.scheduler.state import SchedulerState
 
 PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
@@ -67,6 +68,7 @@
         self._read_configuration = read_configuration
         self._policy = policy
         self._starts: list[PendingStart] = []
+        self._tally = PlanningTally()
         self._questions: set[asyncio.Task[None]] = set()
 
     def take_starts(self) -> list[PendingStart]:
@@ -74,13 +76,25 @@
         starts, self._starts = self._starts, []
         return starts
 
+    def take_tally(self) -> PlanningTally:
+        """Return what was counted since the last call."""
+        tally, self._tally = self._tally, PlanningTally()
+        return tally
+
     def plan(self) -> bool:
         """Place tasks that are ready and find room, the most urgent first.
 
         Returns whether all were looked at; one round must not delay everything else.
         """
+        started_at = asyncio.get_running_loop().time()
+        is_complete = self._plan_round(started_at)
+        self._tally.rounds += 1
+        self._tally.cut_rounds += not is_complete
+        self._tally.seconds += asyncio.get_running_loop().time() - started_at
+        return is_complete
+
+    def _plan_round(self, now: float) -> bool:
         loop = asyncio.get_running_loop()
-        now = loop.time()
         unix_ms = time.time() * MILLISECONDS + self._early_ms / 2
         steps = [
             step
@@ -94,8 +108,11 @@
         self._observe_short_tasks(waiting, now)
         fleet_by_service: dict[str, Fleet] = {}
         no_room = NoRoom()
-        for _, step, tasks in _in_order(waiting, now):
+        in_order = _in_order(waiting, now)
+        self._tally.steps_waiting += len(in_order)
+        for number, (_, step, tasks) in enumerate(in_order):
             if loop.time() - now > ROUND_SECONDS:
+                self._tally.steps_not_reached += len(in_order) - number
                 return False
             service = self._service_of(step.job.queue)
             if service not in fleet_by_service:
@@ -191,6 +208,7 @@
         for task in tasks:
             candidate = choose_worker(step, task, candidates, context)
             if candidate is None:
+                self._tally.note_refusal(step.spec, candidates)
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
@@ -209,6 +227,7 @@
             self._align_gang(chosen)
         for task, run, link in chosen:
             self._assign(step, task, run, link)
+        self._tally.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
     def _service_headroom(
--- /dev/null
+++ b/savorydale/scheduler/planning_tally.py
@@ -0,0 +1,47 @@
+"""What rounds of planning did since the last report, and why tasks still wait.
+
+A waiting task was either not reached before its round ran out of time, or it was looked
+at and no worker could take it. The counts tell the two apart.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Sequence
+from enum import StrEnum
+
+from savorydale.jobs.model import StepSpec
+from savorydale.placement.choice import Candidate
+
+
+class WaitReason(StrEnum):
+    """Why a task that was looked at found no worker."""
+
+    NO_ROOM = "no_room"
+    TOO_SLOW = "too_slow"  # there is room, but services would slow the task down
+
+
+@dataclasses.dataclass(slots=True)
+class PlanningTally:
+    """Counts of one second or so; ``seconds`` is the time that planning took.
+
+    ``steps_not_reached`` adds up what each round left out for want of time;
+    ``steps_refused`` counts the steps of which at least one task found no worker, by
+    the kind of their tasks and the reason.
+    """
+
+    rounds: int = 0
+    cut_rounds: int = 0
+    seconds: float = 0.0
+    steps_waiting: int = 0
+    steps_not_reached: int = 0
+    tasks_placed: int = 0
+    steps_refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def note_refusal(self, spec: StepSpec, candidates: Sequence[Candidate]) -> None:
+        """Count a step of which a task found no worker."""
+        reason = WaitReason.NO_ROOM
+        if spec.backfill and any(other.load.fits(spec) for other in candidates):
+            reason = WaitReason.TOO_SLOW
+        self.steps_refused[f"{spec.kind}.{reason}"] += 1
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -25,6 +25,7 @@
 from savorydale.ownership.election import RENEWAL_SECONDS
 from savorydale.ownership.lease import SchedulerLease
 from savorydale.placement.advice import PolicyService, StepName
+from savorydale.queueing.order import objective_seconds
 from savorydale.scheduler.housekeeping import Housekeeping
 from savorydale.scheduler.job_feed import JobFeed
 from savorydale.scheduler.load_report import LoadReport
@@ -77,7 +78,7 @@
             self._state, timing.early_ms, counters, read_configuration, policy
         )
         self._mover = RunMover(self._state, counters)
-        self._load_report = LoadReport(self._state)
+        self._load_report = LoadReport(self._state, self._planner.take_tally)
         self._housekeeping = Housekeeping(
             self._state,
             timing.status_retention_s,
@@ -320,7 +321,17 @@
         self._state.ledger.finish(job, status, int(self._store_now_ms()))
         self._state.ended_ms_by_job[job.id] = int(self._store_now_ms())
         self._state.advice.forget_job(job.id)
-        log.info("job ended", extra={"job": job.id, "status": status})
+        now = asyncio.get_running_loop().time()
+        log.info(
+            "job ended",
+            extra={
+                "job": job.id,
+                "status": status,
+                "age": round(now - job.seen_at, 3),
+                "objective": round(objective_seconds(job), 3),
+                "core_seconds": round(job.row.spec.core_seconds, 1),
+            },
+        )
         for task in job.assigned_tasks():
             link = self._state.link_by_worker.get(task.worker)
             run = link.run_by_task.get(task.id) if link else None
