Write refusals of a round as plain counts in the planning line

The line was dropped whenever a step had been refused: a Counter does not survive dataclasses.asdict, so its keys were tuples that JSON cannot hold.

--- a/savorydale/scheduler/load_report.py
+++ b/savorydale/scheduler/load_report.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import logging
 from collections.abc import Callable
 from typing import NamedTuple
@@ -73,9 +72,7 @@
         tally = self._take_tally()
         if not tally.rounds:
             return
-        counts = dataclasses.asdict(tally)
-        counts["seconds"] = round(tally.seconds, 3)
-        log.info("planning", extra=counts)
+        log.info("planning", extra=tally.to_fields())
 
     def _count_waiting(self) -> dict[StepKind, int]:
         """Return the tasks that could start now, by kind."""
--- a/savorydale/scheduler/planning_tally.py
+++ b/savorydale/scheduler/planning_tally.py
@@ -45,3 +45,12 @@
         if spec.backfill and any(other.load.fits(spec) for other in candidates):
             reason = WaitReason.TOO_SLOW
         self.steps_refused[f"{spec.kind}.{reason}"] += 1
+
+    def to_fields(self) -> dict[str, object]:
+        """Return the counts as fields of a log line."""
+        fields = {
+            field.name: getattr(self, field.name) for field in dataclasses.fields(self)
+        }
+        fields["seconds"] = round(self.seconds, 3)
+        fields["steps_refused"] = dict(self.steps_refused)
+        return fields
