Finish the jobs that were begun before others are begun

Cause: earliest deadline first under overload. Work was spent on jobs up to the moment at which they could not be on time any more, then on others; a job needs more starts the larger it is, so large ones were begun and passed by at each. The class: an order that is right while all fits, and has no rule for what to leave out. Change: a job that was begun and can still be on time goes first; one that was not begun must have some time to spare to count as on time, and otherwise waits behind late jobs that were begun; a job that cannot end before it is of no use counts as useless at once. Chains are computed once a job.

--- a/savorydale/jobs/ledger.py
+++ b/savorydale/jobs/ledger.py
@@ -59,7 +59,10 @@
 
 
 class StepProgress:
-    """Tasks of one step of one occurrence."""
+    """Tasks of one step of one occurrence.
+
+    ``is_begun`` tells whether a task of the step was ever assigned.
+    """
 
     def __init__(self, job: "JobProgress", occurrence: int, number: int):
         self.job = job
@@ -71,6 +74,7 @@
             for index in range(self.spec.task_count)
         ]
         self.open_count = self.spec.task_count
+        self.is_begun = False
 
     @property
     def key(self) -> RowKey:
@@ -104,13 +108,19 @@
 
 
 class JobProgress:
-    """One job that has not ended, or whose last runs are being stopped."""
+    """One job that has not ended, or whose last runs are being stopped.
+
+    ``seen_at`` is when the scheduler first knew of it, on the loop's clock.
+    ``chain_seconds`` is the estimated run time of its longest chain of steps.
+    """
 
     def __init__(self, job: str, row: JobRow, status: JobStatus, seen_at: float):
         self.id = job
         self.row = row
         self.status = status
         self.seen_at = seen_at
+        self._chain_seconds_by_step = row.spec.chain_seconds_by_step()
+        self.chain_seconds = max(self._chain_seconds_by_step, default=0.0)
         self._steps_by_occurrence: dict[int, list[StepProgress]] = {}
 
     @property
@@ -127,6 +137,18 @@
             self._steps_by_occurrence[occurrence] = steps
         return steps
 
+    def is_begun(self, occurrence: int) -> bool:
+        """Return whether a task of an occurrence was ever assigned."""
+        return any(step.is_begun for step in self.steps_of(occurrence))
+
+    def chain_seconds_left(self, occurrence: int) -> float:
+        """Return the estimated longest chain of the steps that are not done."""
+        steps = self.steps_of(occurrence)
+        return max(
+            (self._chain_seconds_by_step[s.number] for s in steps if not s.is_done),
+            default=0.0,
+        )
+
     def begun_steps(self) -> Iterator[StepProgress]:
         """Iterate over the steps of all occurrences that were looked at."""
         for steps in self._steps_by_occurrence.values():
@@ -217,6 +239,7 @@
             task.failures = row.failures
             task.worker = row.worker
             task.checkpoint = row.checkpoint
+            step.is_begun = step.is_begun or row.run > 0
             if row.done:
                 step.mark_done(task)
 
@@ -235,6 +258,7 @@
         check(task.is_waiting, "task %s is assigned twice", task.id)
         task.run += 1
         task.worker = worker
+        step.is_begun = True
         self._changed_steps[step.key] = step
         if step.job.status is JobStatus.QUEUED:
             self._set_status(step.job, JobStatus.RUNNING, 0)
--- a/savorydale/jobs/model.py
+++ b/savorydale/jobs/model.py
@@ -112,6 +112,15 @@
         """Return the estimated work of one occurrence."""
         return sum(step.core_seconds for step in self.steps)
 
+    def chain_seconds_by_step(self) -> tuple[float, ...]:
+        """Return for each step the estimated longest chain that begins with it."""
+        seconds = [step.estimate_ms / MILLISECONDS_PER_SECOND for step in self.steps]
+        for number in reversed(range(len(self.steps))):
+            for earlier in self.steps[number].after:
+                own = self.steps[earlier].estimate_ms / MILLISECONDS_PER_SECOND
+                seconds[earlier] = max(seconds[earlier], own + seconds[number])
+        return tuple(seconds)
+
     @property
     def is_scheduled(self) -> bool:
         """Return whether the job has occurrences by time."""
--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -2,10 +2,15 @@
 
 Answers overload: urgent queues first; among equals, short tasks before services, which
 hold what they get for long, but not before services that have waited for a while, or a
-steady flow of short tasks would starve them; then the earliest deadline first. A
-job that cannot meet its objective any more is still of some use until three times the
-objective, so that later time becomes its deadline and others that can still be on time
-go before it.
+steady flow of short tasks would starve them.
+
+Among tasks, jobs that were begun and can still meet their objective go first, so that
+the work spent on them is not lost; a job needs more starts the larger it is, and would
+otherwise be passed by smaller ones at each. Then the earliest deadline goes first. A
+job that cannot meet its objective any more is of some use until three times the
+objective, so that later time becomes its deadline, and a later one still if it was not
+begun: when more comes than fits, it is better to leave some jobs out than to begin all
+and finish few.
 """
 
 from collections.abc import Sequence
@@ -13,9 +18,11 @@
 from typing import NamedTuple
 
 from savorydale.jobs.ledger import JobProgress, StepProgress, Task
-from savorydale.jobs.model import MILLISECONDS_PER_SECOND, JobSpec
+from savorydale.jobs.model import MILLISECONDS_PER_SECOND
 
 USELESS_AFTER_OBJECTIVES = 3.0
+DEFERRED_OBJECTIVES = 4.0  # deadline of a job that is late before it has begun
+BEGIN_CHAIN_RATIO = 1.6  # of a job's chain, as tasks of wide steps do not start at once
 SERVICE_PATIENCE_SECONDS = 1.5
 
 
@@ -31,57 +38,61 @@
     """Sorts steps; the smallest comes first. Times are in seconds.
 
     ``placed_ratio`` is the share of a service's replicas that have a worker, so that
-    all services get some replicas before one gets all; 0 for other steps.
+    all services get some replicas before one gets all; 0 for other steps. ``can_wait``
+    is false for a job that was begun and can still end within its objective.
     """
 
     is_useless: bool
     priority: int
     turn: Turn
     placed_ratio: float
+    can_wait: bool
     deadline: float
 
 
-def longest_chain_seconds(
-    spec: JobSpec, done_steps: frozenset[int] = frozenset()
-) -> float:
-    """Return the estimated run time of the longest chain of steps not yet done."""
-    chain_by_step: list[float] = []
-    for number, step in enumerate(spec.steps):
-        before = max((chain_by_step[earlier] for earlier in step.after), default=0.0)
-        own = 0.0 if number in done_steps else step.estimate_ms
-        chain_by_step.append(before + own / MILLISECONDS_PER_SECOND)
-    return max(chain_by_step, default=0.0)
-
-
 def objective_seconds(job: JobProgress) -> float:
     """Return within which time the job should end."""
-    chain = longest_chain_seconds(job.row.spec)
-    return job.queue.stretch * chain + job.queue.objective_ms / MILLISECONDS_PER_SECOND
+    fixed = job.queue.objective_ms / MILLISECONDS_PER_SECOND
+    return job.queue.stretch * job.chain_seconds + fixed
 
 
 def rank_step(step: StepProgress, now: float) -> PlacementRank:
     """Return the rank of a ready step at ``now`` on the loop's clock."""
+    if step.spec.long_running:
+        return _rank_service(step, now)
     job = step.job
     objective = objective_seconds(job)
-    deadline = job.seen_at + objective
-    done = frozenset(
-        number
-        for number, other in enumerate(job.steps_of(step.occurrence))
-        if other.is_done
+    chain_left = job.chain_seconds_left(step.occurrence)
+    is_begun = job.is_begun(step.occurrence)
+    needed = chain_left if is_begun else BEGIN_CHAIN_RATIO * chain_left
+    can_be_on_time = now + needed <= job.seen_at + objective
+    objectives = 1.0
+    if not can_be_on_time:
+        objectives = USELESS_AFTER_OBJECTIVES if is_begun else DEFERRED_OBJECTIVES
+    return PlacementRank(
+        is_useless=now + chain_left
+        > job.seen_at + USELESS_AFTER_OBJECTIVES * objective,
+        priority=job.queue.priority,
+        turn=Turn.TASK,
+        placed_ratio=0.0,
+        can_wait=not (is_begun and can_be_on_time),
+        deadline=job.seen_at + objectives * objective,
+    )
+
+
+def _rank_service(step: StepProgress, now: float) -> PlacementRank:
+    job = step.job
+    waiting = step.waiting_tasks()
+    since = min((task.waiting_since for task in waiting), default=now)
+    is_overdue = now - (since or job.seen_at) >= SERVICE_PATIENCE_SECONDS
+    return PlacementRank(
+        is_useless=False,
+        priority=job.queue.priority,
+        turn=Turn.OVERDUE_SERVICE if is_overdue else Turn.NEW_SERVICE,
+        placed_ratio=1 - len(waiting) / step.spec.task_count,
+        can_wait=True,
+        deadline=job.seen_at + objective_seconds(job),
     )
-    is_useless = False
-    if now + longest_chain_seconds(job.row.spec, done) > deadline:
-        deadline = job.seen_at + USELESS_AFTER_OBJECTIVES * objective
-        is_useless = now > deadline and not step.spec.long_running
-    turn = Turn.TASK
-    placed_ratio = 0.0
-    if step.spec.long_running:
-        waiting = step.waiting_tasks()
-        since = min((task.waiting_since for task in waiting), default=now)
-        is_overdue = now - (since or job.seen_at) >= SERVICE_PATIENCE_SECONDS
-        turn = Turn.OVERDUE_SERVICE if is_overdue else Turn.NEW_SERVICE
-        placed_ratio = 1 - len(waiting) / step.spec.task_count
-    return PlacementRank(is_useless, job.queue.priority, turn, placed_ratio, deadline)
 
 
 def rank_replicas(
