Answer what waits for the store before a stopping process closes

Change: a stopping process answers all it has read 0.2 s before it closes, 503 or, where something may have been sent, 504; the count reads as other requests do, in tries of 0.6 s within the caller's time. The tests failed before: disconnected, and no answer within 0.9 s of 0.7 s.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -40,6 +40,7 @@
 RELEASE_TIMEOUT_SECONDS = 0.8
 PAGES_SHUTDOWN_SECONDS = 0.1
 SHUTDOWN_SECONDS = 1.2
+LAST_ANSWER_SECONDS = 0.2  # an answer must still be sent before its server closes
 LAME_DUCK_SECONDS = 2.5  # the balancer notices after two missed checks, 1 s apart
 LAME_DUCK_SHARE = 0.4  # of the time that a stopping process has
 OVERLOAD_PAUSE_SECONDS = 5.0  # others may take the lease meanwhile
@@ -64,6 +65,13 @@
         advice = config["advice"]["address"]
         self._policy = PlatformAdvice(http, advice) if advice else None
         self.desk = JobDesk(self._store)
+        self._frontend = Frontend(
+            self.desk,
+            counters,
+            self.read_configuration,
+            self.is_stopping,
+            self.is_store_reachable,
+        )
         self._orders: WorkerOrders = PlatformWorkers(http, counters)
         self._configuration: Configuration | None = None
         self._store_contact_at = 0.0
@@ -108,6 +116,7 @@
             await stop.wait()
             log.info("entry stops")
             self._is_stopping = True
+            self._frontend.answer_all_by(self._last_answer_at())
             scheduling.cancel()
             await asyncio.wait([scheduling])
             await self._release()
@@ -119,6 +128,14 @@
         grace = self._config["timing"]["stop_grace_s"]
         return min(LAME_DUCK_SECONDS, grace * LAME_DUCK_SHARE)
 
+    def _last_answer_at(self) -> float:
+        """Return until when a stopping process can surely answer, on the loop's clock.
+
+        Callers' connections are closed some time after readiness was withdrawn.
+        """
+        left = self._lame_duck_seconds() + SHUTDOWN_SECONDS - LAST_ANSWER_SECONDS
+        return asyncio.get_running_loop().time() + left
+
     def is_stopping(self) -> bool:
         """Return whether the process was told to stop."""
         return self._is_stopping
@@ -126,20 +143,13 @@
     @contextlib.asynccontextmanager
     async def _servers(self) -> AsyncIterator[None]:
         """Open all HTTP servers; at the end, let requests under way finish."""
-        frontend = Frontend(
-            self.desk,
-            self._counters,
-            self.read_configuration,
-            self.is_stopping,
-            self.is_store_reachable,
-        )
         listen = self._config["listen"]
         pages = [(make_health_page(self.is_ready), listen["health"])]
         if listen["metrics_port"]:
             address = f"{self._config['vm']['ip']}:{listen['metrics_port']}"
             pages.append((make_metrics_page(self._counters), address))
         callers = _serve(
-            frontend.make_application(), listen["callers"], SHUTDOWN_SECONDS
+            self._frontend.make_application(), listen["callers"], SHUTDOWN_SECONDS
         )
         async with contextlib.AsyncExitStack() as stack:
             for application, address in pages:
--- a/savorydale/jobs/acceptance.py
+++ b/savorydale/jobs/acceptance.py
@@ -29,6 +29,8 @@
     NotDone,
     OutcomeUnknown,
     RowCondition,
+    RowKey,
+    RowRange,
     RowStore,
     RowTransaction,
     RowWrite,
@@ -181,36 +183,41 @@
         StoreError
             If the store cannot be read in time.
         """
-        stored, page = await read_row(self._store, summary_key(queue), timeout_seconds)
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        stored, page = await self._read_row(summary_key(queue), deadline)
         if stored is not None and stored.value:
             summary: SummaryRow = decode_summary(stored.value)
             if page.now_ms - summary.counted_ms <= SUMMARY_MAX_AGE_MS:
                 return summary.pending
-        rows = await self._store.read_range(
-            STATES_TABLE, timeout_seconds=timeout_seconds
-        )
+        left = max(0.0, deadline - asyncio.get_running_loop().time())
+        rows = await self._store.read_range(STATES_TABLE, timeout_seconds=left)
         return sum(_is_pending(row, queue) for row in rows.rows)
 
     async def _read_state(
         self, job: str, timeout_seconds: float
     ) -> tuple[StateRow | None, int]:
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        stored, _ = await self._read_row(state_key(job), deadline)
+        if stored is None or stored.value is None:
+            return None, ABSENT
+        state = decode_state(stored.value)
+        if state.status.is_final:
+            self._final_by_job[job] = state
+        return state, stored.version
+
+    async def _read_row(
+        self, name: RowKey, deadline: float
+    ) -> tuple[StoredRow | None, RowRange]:
+        """Read a row, as often as it takes until ``deadline`` on the loop's clock."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_seconds
         while True:
             timeout = min(TRY_TIMEOUT_SECONDS, max(0.0, deadline - loop.time()))
             try:
-                stored, _ = await read_row(self._store, state_key(job), timeout)
-                break
+                return await read_row(self._store, name, timeout)
             except StoreError:
                 if loop.time() + RETRY_DELAY_SECONDS >= deadline:
                     raise
             await asyncio.sleep(RETRY_DELAY_SECONDS)
-        if stored is None or stored.value is None:
-            return None, ABSENT
-        state = decode_state(stored.value)
-        if state.status.is_final:
-            self._final_by_job[job] = state
-        return state, stored.version
 
 
 def _is_pending(row: StoredRow, queue: str) -> bool:
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -1,9 +1,11 @@
 """The HTTP interface for callers: submit, show and cancel jobs."""
 
+import asyncio
+import contextlib
 import json
 import logging
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -63,6 +65,27 @@
         self._desk = desk
         self._counters = counters
         self._read_configuration = read_configuration
+        self._last_answer_at: float | None = None
+        self._scopes: set[asyncio.Timeout] = set()
+
+    def answer_all_by(self, last_answer_at: float) -> None:
+        """Answer all requests by a time on the loop's clock, after which no one serves.
+
+        What waits for the store until then is told so, rather than cut off.
+        """
+        self._last_answer_at = last_answer_at
+        for scope in self._scopes:
+            scope.reschedule(last_answer_at)
+
+    @contextlib.asynccontextmanager
+    async def _answered_in_time(self) -> AsyncIterator[asyncio.Timeout]:
+        """Raise `TimeoutError` in the block when a stopping process must answer."""
+        async with asyncio.timeout_at(self._last_answer_at) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
 
     def make_application(self) -> web.Application:
         """Return the web application."""
@@ -83,7 +106,21 @@
         if not self._is_store_reachable() and not self._desk.has_final(job):
             # Nothing is sent, so that the refusal is true and comes at once.
             return self._refuse("store_unreachable")
-        match request.method, bool(job):
+        try:
+            async with self._answered_in_time() as scope:
+                return await self._dispatch(request, call, configuration)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            log.info("request ends with the process", extra={"job": job})
+        if request.method == "GET":
+            return self._refuse("stopping")
+        return self._answer(504, "outcome_unknown", {"error": "the process stops"})
+
+    async def _dispatch(
+        self, request: web.Request, call: CallerRequest, configuration: Configuration
+    ) -> web.Response:
+        match request.method, bool(call.job):
             case "POST", True:
                 return await self._submit(request, call, configuration)
             case "GET", True:
--- a/savorydale/tests/platform/frontend_tests.py
+++ b/savorydale/tests/platform/frontend_tests.py
@@ -4,9 +4,11 @@
 import contextlib
 
 import aiohttp
+import pytest
 from aiohttp import web
 
 from savorydale.counters import Counters
+from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.acceptance import JobDesk
 from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.platform.frontend import Frontend
@@ -29,6 +31,18 @@
         return self.outcome
 
 
+class SilentStore:
+    """Takes every request and never answers."""
+
+    async def transact(self, transaction, timeout_seconds):
+        await asyncio.sleep(timeout_seconds)
+        return OutcomeUnknown("silent")
+
+    async def read_range(self, table, start="", end="", *, timeout_seconds):
+        await asyncio.sleep(timeout_seconds)
+        raise StoreUnreachableError("silent")
+
+
 @contextlib.asynccontextmanager
 async def open_frontend(store, configuration=True, reachable=True, stopping=False):
     current = Configuration(1, {"q": QUEUE}, 1000) if configuration else None
@@ -50,6 +64,7 @@
             ) as response:
                 return response.status, dict(response.headers)
 
+        call.frontend = frontend
         yield call
     await runner.cleanup()
 
@@ -94,3 +109,35 @@
 def test_a_stopping_entry_closes_connections_after_its_answers():
     _, headers = submit(ScriptedStore(Committed(1)), stopping=True)
     assert headers["Connection"] == "close"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/q/", 503),
+        ("GET", f"/q/{JOB}", 503),
+        ("POST", f"/q/{JOB}", 504),
+        ("DELETE", f"/q/{JOB}", 504),
+    ],
+)
+def test_a_stopping_entry_answers_what_waits_for_a_silent_store(method, path, status):
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with open_frontend(SilentStore()) as call:
+            waiting = asyncio.create_task(call(method, path, BODY, "5000"))
+            await asyncio.sleep(0.2)
+            call.frontend.answer_all_by(loop.time() + 0.1)
+            async with asyncio.timeout(1):
+                return await waiting
+
+    assert asyncio.run(run())[0] == status
+
+
+def test_a_count_is_answered_within_its_deadline_while_the_store_is_silent():
+    async def run():
+        async with open_frontend(SilentStore()) as call, asyncio.timeout(0.9):
+            return await call("GET", "/q/", None, "700")
+
+    status, headers = asyncio.run(run())
+    assert status == 503
+    assert headers["Retry-After"] == "1"
