Let timeouts and the lapse of the lease follow how slow the store answers

All that was given up on is carried out, or takes a place in the queue. Ruled out: weak holders; takeovers that load for long (three did, but after the lease was gone). Change: the timeout of a transaction follows the answers seen (0.6 to 1.6 s; the store refuses what would wait for more than a second); a lease lapses later, and the tries to take it are spread over more time, where the poll was answered slowly; the row is read once more before a try; the holder repeats a refused commit after 0.1 s at most.

--- a/savorydale/jobs/acceptance.py
+++ b/savorydale/jobs/acceptance.py
@@ -22,6 +22,7 @@
     state_key,
     summary_key,
 )
+from savorydale.storage.answer_timeout import AnswerTimeout
 from savorydale.storage.rows import (
     ABSENT,
     Committed,
@@ -35,10 +36,11 @@
     RowTransaction,
     RowWrite,
     StoredRow,
+    TransactionOutcome,
     read_row,
 )
 
-TRY_TIMEOUT_SECONDS = 0.6
+READ_TIMEOUT_SECONDS = 0.6
 RETRY_DELAY_SECONDS = 0.1
 UNANSWERED_TRIES = 2  # the second goes over a new connection; then others may do better
 REFUSED_TRIES = 3  # tries that the store refuses before the caller is sent away
@@ -84,6 +86,7 @@
     def __init__(self, store: RowStore):
         self._store = store
         self._final_by_job: dict[str, StateRow] = {}
+        self._answer_timeout = AnswerTimeout()
 
     async def submit(
         self, job: str, spec: JobSpec, queue: QueueSettings, timeout_seconds: float
@@ -109,8 +112,7 @@
                 return JobOutcomeUnknown(unknown_reason)
             if left <= 0:
                 return JobNotAccepted("out of time")
-            timeout = min(TRY_TIMEOUT_SECONDS, left)
-            match await self._store.transact(transaction, timeout):
+            match await self._transact(transaction, left):
                 case Committed():
                     return JobAccepted(is_repeat=False)
                 case Conflict():
@@ -164,9 +166,7 @@
                 (RowCondition(state_key(job), version),),
                 (RowWrite(cancel_key(job), b"1"),),
             )
-            outcome = await self._store.transact(
-                transaction, min(TRY_TIMEOUT_SECONDS, deadline - loop.time())
-            )
+            outcome = await self._transact(transaction, deadline - loop.time())
             if isinstance(outcome, Committed):
                 return CancelOutcome(exists=True, is_stored=True)
             if loop.time() + RETRY_DELAY_SECONDS >= deadline:
@@ -193,6 +193,21 @@
         rows = await self._store.read_range(STATES_TABLE, timeout_seconds=left)
         return sum(_is_pending(row, queue) for row in rows.rows)
 
+    async def _transact(
+        self, transaction: RowTransaction, seconds_left: float
+    ) -> TransactionOutcome:
+        """Try a transaction once.
+
+        Silence does not lengthen the wait: the caller may do better at another entry.
+        """
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        timeout = min(self._answer_timeout.seconds, seconds_left)
+        outcome = await self._store.transact(transaction, timeout)
+        if not isinstance(outcome, OutcomeUnknown):
+            self._answer_timeout.note_answer(loop.time() - sent_at)
+        return outcome
+
     async def _read_state(
         self, job: str, timeout_seconds: float
     ) -> tuple[StateRow | None, int]:
@@ -211,9 +226,12 @@
         """Read a row, as often as it takes until ``deadline`` on the loop's clock."""
         loop = asyncio.get_running_loop()
         while True:
-            timeout = min(TRY_TIMEOUT_SECONDS, max(0.0, deadline - loop.time()))
+            sent_at = loop.time()
+            timeout = min(READ_TIMEOUT_SECONDS, max(0.0, deadline - sent_at))
             try:
-                return await read_row(self._store, name, timeout)
+                found = await read_row(self._store, name, timeout)
+                self._answer_timeout.note_answer(loop.time() - sent_at)
+                return found
             except StoreError:
                 if loop.time() + RETRY_DELAY_SECONDS >= deadline:
                     raise
--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -20,6 +20,8 @@
 POLL_TIMEOUT_SECONDS = 0.4
 LEASE_SECONDS = 2.0
 RENEWAL_SECONDS = 0.5
+ANSWERS_TO_RENEW = 8  # a renewal waits for others, and may have to be repeated
+ANSWERS_TO_ACQUIRE = 4  # spread the tries of many entries over so many answers
 POLL_GAP_SECONDS = 1.2  # longer gaps between polls start the observation anew
 STRONGER_RATIO = 2.0  # cores of a VM that relieves the holder, against the holder's
 
@@ -34,18 +36,20 @@
     unchanged_since: float = 0.0
     polled_at: float = 0.0
 
-    def has_lapsed(self, version: int, now: float) -> bool:
+    def has_lapsed(self, version: int, now: float, answer_seconds: float) -> bool:
         """Take in one poll and return whether the holder has not renewed in time.
 
         Only time during which this entry itself could read the store counts: while
-        the store is out, the holder cannot renew either.
+        the store is out, the holder cannot renew either. A store that is slow to
+        answer this poll, in ``answer_seconds``, is slow to renew the lease as well.
         """
         gap = now - self.polled_at
         self.polled_at = now
         if version != self.version or gap > POLL_GAP_SECONDS:
             self.version = version
             self.unchanged_since = now
-        return now - self.unchanged_since >= LEASE_SECONDS
+        lease_seconds = LEASE_SECONDS + ANSWERS_TO_RENEW * answer_seconds
+        return now - self.unchanged_since >= lease_seconds
 
 
 async def wait_for_lease(
@@ -64,6 +68,7 @@
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
     while True:
+        polled_at = loop.time()
         try:
             stored, _ = await read_row(store, LEASE_KEY, POLL_TIMEOUT_SECONDS)
         except StoreError as error:
@@ -76,10 +81,14 @@
             return SchedulerLease(
                 store, identity, current.epoch, version, loop.time(), current.sequence
             )
-        lapsed = observation.has_lapsed(version, loop.time())
+        answer_seconds = loop.time() - polled_at
+        lapsed = observation.has_lapsed(version, loop.time(), answer_seconds)
         if _may_acquire(current, identity, lapsed):
             if not (_was_held_by(current, identity) or _relieves(current, identity)):
-                await asyncio.sleep(head_start_seconds)
+                spread = rng.uniform(0.0, ANSWERS_TO_ACQUIRE * answer_seconds)
+                await asyncio.sleep(head_start_seconds + spread)
+                if not await _is_unchanged(store, version):
+                    continue
             lease = await try_to_acquire(store, identity, current, version)
             if lease is not None:
                 log.info(
@@ -90,6 +99,16 @@
         await asyncio.sleep(POLL_SECONDS * rng.uniform(0.8, 1.0))
 
 
+async def _is_unchanged(store: RowStore, version: int) -> bool:
+    """Return whether nobody has taken the lease; a try in vain burdens the store."""
+    try:
+        stored, _ = await read_row(store, LEASE_KEY, POLL_TIMEOUT_SECONDS)
+    except StoreError as error:
+        log.debug("lease cannot be read", extra={"reason": str(error)})
+        return False
+    return (stored.version if stored else 0) == version
+
+
 def _may_acquire(
     current: LeaseRow | None, identity: EntryIdentity, lapsed: bool
 ) -> bool:
--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -14,6 +14,7 @@
 
 from savorydale.exceptions import LeadershipLostError, RowFormatError, StoreError
 from savorydale.jobs.rows import LEASE_KEY
+from savorydale.storage.answer_timeout import AnswerTimeout
 from savorydale.storage.rows import (
     ABSENT,
     Committed,
@@ -30,7 +31,7 @@
 
 COMMIT_TIMEOUT_SECONDS = 0.6
 RETRY_DELAY_SECONDS = 0.05
-MAX_RETRY_DELAY_SECONDS = 0.5
+MAX_RETRY_DELAY_SECONDS = 0.1
 WRITES_PER_TRANSACTION = 96  # the store takes 100 entries, conditions included
 BYTES_PER_TRANSACTION = 500_000  # the store takes 1 MB after base64
 
@@ -84,6 +85,7 @@
     version: int
     renewed_at: float
     sequence: int = 0
+    answer_timeout: AnswerTimeout = dataclasses.field(default_factory=AnswerTimeout)
 
     async def commit(self, writes: list[RowWrite]) -> None:
         """Write rows and renew the lease, retrying until the outcome is known.
@@ -132,7 +134,12 @@
         delay = RETRY_DELAY_SECONDS
         while True:
             sent_at = loop.time()
-            outcome = await self.store.transact(transaction, COMMIT_TIMEOUT_SECONDS)
+            timeout = self.answer_timeout.seconds
+            outcome = await self.store.transact(transaction, timeout)
+            if isinstance(outcome, OutcomeUnknown):
+                self.answer_timeout.note_silence()
+            else:
+                self.answer_timeout.note_answer(loop.time() - sent_at)
             match outcome:
                 case Committed(version):
                     self._advance(version, sent_at)
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -99,6 +99,7 @@
         self._seed = seed
         self._lives = 0
         self.store = RowStoreStandin()
+        self.store_seconds = STORE_SECONDS
         self.violations = Violations()
         self.worker_by_name: dict[str, TaskWorkerStandin] = {}
         self.entry_by_name: dict[str, JobEntry] = {}
@@ -201,7 +202,7 @@
 
     def latency_to(self, address: str) -> float:
         """Return how long an answer from ``address`` takes."""
-        return STORE_SECONDS if address == STORE else LATENCY_SECONDS
+        return self.store_seconds if address == STORE else LATENCY_SECONDS
 
     def spawn(self, coroutine) -> None:
         """Run something in the background of the world."""
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -8,6 +8,7 @@
 
 MAX_ENTRIES = 100
 PAGE_ROWS = 500
+MAX_WAIT_SECONDS = 1.0  # of transactions before one that is accepted
 CLOCK_RESOLUTION_SECONDS = 0.001
 PROTECTED_TABLES = ("op", "servers")
 
@@ -28,10 +29,15 @@
 
 
 class RowStoreStandin:
-    """Rows with versions, conditional transactions, and a feed of changes."""
+    """Rows with versions, conditional transactions, and a feed of changes.
+
+    Transactions are carried out one after the other, each in ``transaction_seconds``.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.transaction_seconds = 0.0
+        self._busy_until = 0.0
         self.transactions = 0
         self.reads = 0
         self._row_by_name: dict[RowName, tuple[bytes, int]] = {}
@@ -45,7 +51,7 @@
         """Answer one request."""
         match method, path:
             case "POST", "/-/rows-tx":
-                return self._transact(body or {})
+                return await self._transact_in_turn(body or {})
             case "GET", "/-/rows-get":
                 return self._read(params)
             case "GET", "/-/rows-feed":
@@ -71,6 +77,17 @@
         self._history_start = self.version
         self._notify()
 
+    async def _transact_in_turn(self, body: JsonObject) -> Reply:
+        """Let a transaction wait for those before it, or refuse it if many wait."""
+        now = asyncio.get_running_loop().time()
+        starts_at = max(now, self._busy_until)
+        if starts_at - now > MAX_WAIT_SECONDS:
+            return Reply(429, {"error": "too many transactions wait"})
+        self._busy_until = starts_at + self.transaction_seconds
+        if self.transaction_seconds:
+            await asyncio.sleep(self._busy_until - now)
+        return self._transact(body)
+
     def _transact(self, body: JsonObject) -> Reply:
         conditions = body.get("precondition") or []
         sets = body.get("setKeys") or []
