Let short tasks keep the last places from services that have waited

Services held 94 of 100 parts of the fleet, 40 to 240 more replicas waited, and each gap went to one of them. Cause: services that had waited 1.5 s went before short tasks of the same priority, whatever room was left, since a steady flow of short tasks had starved one before. That starvation needs places: the service waited though two were free between short tasks. Change: services that have waited go first only while two places and more are left for them; below that short tasks come first, as they did with the room that services must leave for them.

--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -1,8 +1,9 @@
 """In which order ready steps are placed.
 
 Answers overload: urgent queues first; among equals, short tasks before services, which
-hold what they get for long, but not before services that have waited for a while, or a
-steady flow of short tasks would starve them.
+hold what they get for long, but not before services that have waited for a while and
+would find places, or a steady flow of short tasks would starve them. Where hardly any
+place is left, short tasks keep it: they need it for less time, and it comes back.
 
 Among tasks, jobs that were begun and can still meet their objective go first, so that
 the work spent on them is not lost; a job needs more starts the larger it is, and would
@@ -56,10 +57,13 @@
     return job.queue.stretch * job.chain_seconds + fixed
 
 
-def rank_step(step: StepProgress, now: float) -> PlacementRank:
-    """Return the rank of a ready step at ``now`` on the loop's clock."""
+def rank_step(step: StepProgress, now: float, has_places: bool = True) -> PlacementRank:
+    """Return the rank of a ready step at ``now`` on the loop's clock.
+
+    ``has_places`` tells whether several tasks of the step would find a worker now.
+    """
     if step.spec.long_running:
-        return _rank_service(step, now)
+        return _rank_service(step, now, has_places)
     job = step.job
     objective = objective_seconds(job)
     chain_left = job.chain_seconds_left(step.occurrence)
@@ -80,11 +84,12 @@
     )
 
 
-def _rank_service(step: StepProgress, now: float) -> PlacementRank:
+def _rank_service(step: StepProgress, now: float, has_places: bool) -> PlacementRank:
     job = step.job
     waiting = step.waiting_tasks()
     since = min((task.waiting_since for task in waiting), default=now)
-    is_overdue = now - (since or job.seen_at) >= SERVICE_PATIENCE_SECONDS
+    has_waited = now - (since or job.seen_at) >= SERVICE_PATIENCE_SECONDS
+    is_overdue = has_waited and has_places
     return PlacementRank(
         is_useless=False,
         priority=job.queue.priority,
@@ -96,10 +101,10 @@
 
 
 def rank_replicas(
-    step: StepProgress, tasks: Sequence[Task], now: float
+    step: StepProgress, tasks: Sequence[Task], now: float, has_places: bool = True
 ) -> list[tuple[PlacementRank, Task]]:
-    """Return the rank of each waiting replica of a service."""
-    rank = rank_step(step, now)
+    """Return the rank of each waiting replica of a service; see `rank_step`."""
+    rank = rank_step(step, now, has_places)
     return [
         (rank._replace(placed_ratio=rank.placed_ratio + n / step.spec.task_count), task)
         for n, task in enumerate(tasks)
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -8,7 +8,7 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.ledger import StepProgress, Task
-from savorydale.jobs.model import Configuration, QueueSettings
+from savorydale.jobs.model import Configuration, QueueSettings, StepSpec
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyService, StepName
@@ -112,7 +112,7 @@
         self._observe_short_tasks(waiting, now)
         fleet_by_service: dict[str, Fleet] = {}
         no_room = NoRoom()
-        in_order = _in_order(waiting, now)
+        in_order = self._in_order(waiting, fleet_by_service, now)
         self._tally.steps_waiting += len(in_order)
         for number, (_, step, tasks) in enumerate(in_order):
             if loop.time() - now > ROUND_SECONDS:
@@ -121,9 +121,7 @@
             if step.key in self._refused_steps:
                 continue
             service = self._service_of(step.job.queue)
-            if service not in fleet_by_service:
-                fleet_by_service[service] = self._fleet_of(service, now)
-            fleet = fleet_by_service[service]
+            fleet = self._fleet_of(service, fleet_by_service, now)
             if self._needs_advice(step):
                 advised = self._advised(step, fleet.candidates, now)
                 speed = self._least_speed(step, tasks, fleet, now)
@@ -153,9 +151,37 @@
         waited = _seconds_waited(step, tasks, now)
         return least_speed(waited, not fleet.is_busy and step.job.is_idle)
 
-    def _fleet_of(self, service: str, now: float) -> Fleet:
-        candidates = self._state.candidates(service, now)
-        return Fleet(candidates, is_busy(candidates), is_full(candidates))
+    def _in_order(
+        self,
+        waiting: list[tuple[StepProgress, list[Task]]],
+        fleet_by_service: dict[str, Fleet],
+        now: float,
+    ) -> list[tuple[PlacementRank, StepProgress, list[Task]]]:
+        """Return what waits, the most urgent first: steps, and replicas one by one."""
+        entries = []
+        for step, tasks in waiting:
+            if not step.spec.long_running:
+                entries.append((rank_step(step, now), step, tasks))
+                continue
+            service = self._service_of(step.job.queue)
+            fleet = self._fleet_of(service, fleet_by_service, now)
+            has_places = _has_plenty_of_places(fleet.candidates, step.spec)
+            if step.spec.gang:
+                entries.append((rank_step(step, now, has_places), step, tasks))
+                continue
+            ranks = rank_replicas(step, tasks, now, has_places)
+            entries += [(rank, step, [task]) for rank, task in ranks]
+        return sorted(entries, key=lambda entry: entry[0])
+
+    def _fleet_of(
+        self, service: str, fleet_by_service: dict[str, Fleet], now: float
+    ) -> Fleet:
+        fleet = fleet_by_service.get(service)
+        if fleet is None:
+            candidates = self._state.candidates(service, now)
+            fleet = Fleet(candidates, is_busy(candidates), is_full(candidates))
+            fleet_by_service[service] = fleet
+        return fleet
 
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
@@ -266,8 +292,7 @@
         """Return the room to keep beside a service, unless places are plenty."""
         if not step.spec.long_running:
             return 0.0
-        places = sum(candidate.load.places_for(step.spec) for candidate in candidates)
-        if places >= PLENTY_OF_PLACES:
+        if _has_plenty_of_places(candidates, step.spec):
             return 0.0
         return self._state.short_tasks.room_per_worker(len(candidates))
 
@@ -328,18 +353,14 @@
         )
 
 
-def _in_order(
-    waiting: list[tuple[StepProgress, list[Task]]], now: float
-) -> list[tuple[PlacementRank, StepProgress, list[Task]]]:
-    """Return what waits, the most urgent first: steps, and replicas one by one."""
-    entries = []
-    for step, tasks in waiting:
-        if step.spec.long_running and not step.spec.gang:
-            ranks = rank_replicas(step, tasks, now)
-            entries += [(rank, step, [task]) for rank, task in ranks]
-        else:
-            entries.append((rank_step(step, now), step, tasks))
-    return sorted(entries, key=lambda entry: entry[0])
+def _has_plenty_of_places(candidates: list[Candidate], spec: StepSpec) -> bool:
+    """Return whether several tasks of a step would find a worker."""
+    places = 0
+    for candidate in candidates:
+        places += candidate.load.places_for(spec)
+        if places >= PLENTY_OF_PLACES:
+            return True
+    return False
 
 
 def _seconds_waited(step: StepProgress, tasks: list[Task], now: float) -> float:
--- a/savorydale/tests/queueing/order_tests.py
+++ b/savorydale/tests/queueing/order_tests.py
@@ -95,6 +95,12 @@
     assert in_order(2.0, **steps) == ["service", "short"]
 
 
+def test_short_tasks_keep_the_last_places_from_services_that_waited():
+    service, short = make_step(0.0, long_running=True), make_step(2.0)
+    assert rank_step(short, 2.0) < rank_step(service, 2.0, has_places=False)
+    assert rank_step(short, 2.0) > rank_step(service, 2.0, has_places=True)
+
+
 def test_services_get_their_replicas_in_turn():
     first, second = make_step(0.0, long_running=True), make_step(1.0, long_running=True)
     replicas = [
