--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -8,7 +8,7 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.ledger import StepProgress, Task
-from savorydale.jobs.model import Configuration, QueueSettings, StepSpec
+from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyService, StepName
@@ -17,18 +17,16 @@
     Candidate,
     PlacementContext,
     WorkerChooser,
-    is_busy,
-    is_full,
     least_speed,
     unused_millicores,
 )
 from savorydale.placement.no_room import NoRoom
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
+from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_tally import PlanningTally
 from savorydale.scheduler.state import SchedulerState
 from savorydale.storage.rows import RowKey
 
-PLENTY_OF_PLACES = 2  # a service with so many places is never kept waiting
 ROUND_SECONDS = 0.05
 MILLISECONDS = 1000
 
@@ -45,14 +43,6 @@
     ticket: str
 
 
-class Fleet(NamedTuple):
-    """The workers of a service that may get tasks, and how loaded they are together."""
-
-    candidates: list[Candidate]
-    is_busy: bool
-    is_full: bool
-
-
 class Planner:
     """Places waiting tasks; the starts wait until the assignments are durable."""
 
@@ -107,12 +97,10 @@
         ]
         waiting = [(step, step.waiting_tasks()) for step in steps]
         waiting = [entry for entry in waiting if entry[1]]
-        if not waiting:
-            return True
         self._observe_short_tasks(waiting, now)
-        fleet_by_service: dict[str, Fleet] = {}
+        fleets = Fleets(self._state, now)
         no_room = NoRoom()
-        in_order = self._in_order(waiting, fleet_by_service, now)
+        in_order = self._in_order(waiting, fleets, now)
         self._tally.steps_waiting += len(in_order)
         for number, (_, step, tasks) in enumerate(in_order):
             if loop.time() - now > ROUND_SECONDS:
@@ -121,7 +109,7 @@
             if step.key in self._refused_steps:
                 continue
             service = self._service_of(step.job.queue)
-            fleet = self._fleet_of(service, fleet_by_service, now)
+            fleet = fleets.of(service)
             if self._needs_advice(step):
                 advised = self._advised(step, fleet.candidates, now)
                 speed = self._least_speed(step, tasks, fleet, now)
@@ -133,8 +121,8 @@
                 continue
             if not self._place(step, tasks, fleet, speed, now):
                 self._refused_steps.add(step.key)
-                fits = any(other.load.fits(step.spec) for other in fleet.candidates)
-                no_room.add(service, step.spec, speed, fits)
+                has_room = fleet.has_room_for(step.spec)
+                no_room.add(service, step.spec, speed, has_room)
         self._refused_steps.clear()
         return True
 
@@ -154,7 +142,7 @@
     def _in_order(
         self,
         waiting: list[tuple[StepProgress, list[Task]]],
-        fleet_by_service: dict[str, Fleet],
+        fleets: Fleets,
         now: float,
     ) -> list[tuple[PlacementRank, StepProgress, list[Task]]]:
         """Return what waits, the most urgent first: steps, and replicas one by one."""
@@ -163,9 +151,8 @@
             if not step.spec.long_running:
                 entries.append((rank_step(step, now), step, tasks))
                 continue
-            service = self._service_of(step.job.queue)
-            fleet = self._fleet_of(service, fleet_by_service, now)
-            has_places = _has_plenty_of_places(fleet.candidates, step.spec)
+            fleet = fleets.of(self._service_of(step.job.queue))
+            has_places = fleet.has_plenty_of_places(step.spec)
             if step.spec.gang:
                 entries.append((rank_step(step, now, has_places), step, tasks))
                 continue
@@ -173,16 +160,6 @@
             entries += [(rank, step, [task]) for rank, task in ranks]
         return sorted(entries, key=lambda entry: entry[0])
 
-    def _fleet_of(
-        self, service: str, fleet_by_service: dict[str, Fleet], now: float
-    ) -> Fleet:
-        fleet = fleet_by_service.get(service)
-        if fleet is None:
-            candidates = self._state.candidates(service, now)
-            fleet = Fleet(candidates, is_busy(candidates), is_full(candidates))
-            fleet_by_service[service] = fleet
-        return fleet
-
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
         queues = configuration.queue_by_name if configuration else {}
@@ -253,7 +230,7 @@
             self._speeds(step, candidates),
             self._likenesses(step, candidates),
             least_speed,
-            self._service_headroom(step, candidates),
+            self._service_headroom(step, fleet),
             fleet.is_full,
         )
         if step.spec.gang and len(tasks) < step.open_count:
@@ -286,15 +263,11 @@
         self._tally.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
-    def _service_headroom(
-        self, step: StepProgress, candidates: list[Candidate]
-    ) -> float:
+    def _service_headroom(self, step: StepProgress, fleet: Fleet) -> float:
         """Return the room to keep beside a service, unless places are plenty."""
-        if not step.spec.long_running:
-            return 0.0
-        if _has_plenty_of_places(candidates, step.spec):
+        if not step.spec.long_running or fleet.has_plenty_of_places(step.spec):
             return 0.0
-        return self._state.short_tasks.room_per_worker(len(candidates))
+        return self._state.short_tasks.room_per_worker(len(fleet.candidates))
 
     def _speeds(
         self, step: StepProgress, candidates: list[Candidate]
@@ -353,16 +326,6 @@
         )
 
 
-def _has_plenty_of_places(candidates: list[Candidate], spec: StepSpec) -> bool:
-    """Return whether several tasks of a step would find a worker."""
-    places = 0
-    for candidate in candidates:
-        places += candidate.load.places_for(spec)
-        if places >= PLENTY_OF_PLACES:
-            return True
-    return False
-
-
 def _seconds_waited(step: StepProgress, tasks: list[Task], now: float) -> float:
     """Return how long the first of a step's waiting tasks has waited."""
     return now - (min(task.waiting_since for task in tasks) or step.job.seen_at)
