--- a/savorydale/tests/queueing/overload_day.py
+++ b/savorydale/tests/queueing/overload_day.py
@@ -23,6 +23,8 @@
 ROUND_SECONDS = 0.1
 DRAIN_SECONDS = 25.0
 POOLS = 8  # images of backfill disturb other services, so they find other workers
+MILLICORES = 1000
+MILLISECONDS = 1000
 MEAN_CORE_SECONDS = 2 * 20 * 1.7 * 1.8
 
 Rank = Callable[[StepProgress, float], Any]
@@ -71,49 +73,88 @@
     return min(most, max(1.0, value))
 
 
-def play(
-    load: float, cores: float, seconds: float, seed: int, rank: Rank = rank_step
-) -> list[Outcome]:
-    """Return how the jobs of a day fared that brings ``load`` times what fits."""
-    rng = random.Random(f"work/{seed}")
-    arrivals = _arrivals(random.Random(seed), load * cores / MEAN_CORE_SECONDS, seconds)
-    arriving_at, spec = next(arrivals)
-    ledger = Ledger()
-    jobs: list[JobProgress] = []
-    outcomes: dict[str, Outcome] = {}
-    ending: list[tuple[float, Task]] = []
-    free_by_pool = dict.fromkeys(range(POOLS), cores * 1000 / POOLS)
-    for number in range(int((seconds + DRAIN_SECONDS) / ROUND_SECONDS)):
-        now = number * ROUND_SECONDS
-        while ending and ending[0][0] <= now:
-            ended_at, task = heapq.heappop(ending)
-            job = jobs[int(task.id.job)]
+class OverloadDay:
+    """Jobs that come, wait, run in pools of cores, and end."""
+
+    def __init__(self, cores: float, seed: int, rank: Rank):
+        self.job_by_id: dict[str, JobProgress] = {}
+        self.ended_at_by_job: dict[str, float] = {}
+        self._rank = rank
+        self._rng = random.Random(f"work/{seed}")
+        self._ledger = Ledger()
+        self._ending: list[tuple[float, Task]] = []
+        self._free_by_pool = dict.fromkeys(range(POOLS), cores * MILLICORES / POOLS)
+
+    def submit(self, spec: JobSpec, now: float) -> None:
+        """Take in a job; numbers serve as identifiers."""
+        name = str(len(self.job_by_id))
+        row = JobRow(spec, QUEUE, 0)
+        self.job_by_id[name] = self._ledger.add(name, row, JobStatus.QUEUED, now)
+
+    def end_tasks(self, now: float) -> None:
+        """End the tasks whose work is done."""
+        while self._ending and self._ending[0][0] <= now:
+            ended_at, task = heapq.heappop(self._ending)
+            job = self.job_by_id[task.id.job]
             step = job.steps_of(0)[task.id.step]
-            free_by_pool[_pool_of(job.id)] += step.spec.cpu_millicores
+            self._free_by_pool[_pool_of(job.id)] += step.spec.cpu_millicores
             task.worker = ""
             step.mark_done(task)
             if job.is_complete:
-                age = ended_at - job.seen_at
-                outcomes[job.id] = Outcome(
-                    job.row.spec.core_seconds, age / objective_seconds(job)
-                )
-        while arriving_at <= now:
-            row = JobRow(spec, QUEUE, 0)
-            name = str(len(jobs))
-            jobs.append(ledger.add(name, row, JobStatus.QUEUED, arriving_at))
-            arriving_at, spec = next(arrivals, (math.inf, spec))
-        for step, task in _in_order(jobs, outcomes, now, rank):
+                self.ended_at_by_job[job.id] = ended_at
+
+    def start_tasks(self, now: float) -> None:
+        """Start what finds cores, in the order that is played."""
+        for step, task in self._waiting_in_order(now):
             pool = _pool_of(task.id.job)
-            if step.spec.cpu_millicores > free_by_pool[pool]:
+            if step.spec.cpu_millicores > self._free_by_pool[pool]:
                 continue
-            free_by_pool[pool] -= step.spec.cpu_millicores
-            ledger.assign(step, task, "w")
-            work = step.spec.estimate_ms / 1000 * rng.uniform(0.8, 1.2)
-            heapq.heappush(ending, (now + work, task))
-    nothing = [Outcome(job.row.spec.core_seconds, None) for job in jobs]
-    return [
-        outcomes.get(job.id, other) for job, other in zip(jobs, nothing, strict=True)
-    ]
+            self._free_by_pool[pool] -= step.spec.cpu_millicores
+            self._ledger.assign(step, task, "w")
+            work = step.spec.estimate_ms / MILLISECONDS * self._rng.uniform(0.8, 1.2)
+            heapq.heappush(self._ending, (now + work, task))
+
+    def _waiting_in_order(self, now: float) -> Iterator[tuple[StepProgress, Task]]:
+        steps = [
+            step
+            for job in self.job_by_id.values()
+            if job.id not in self.ended_at_by_job
+            for step in job.ready_steps(0)
+            if step.waiting_tasks()
+        ]
+        steps.sort(key=lambda step: self._rank(step, now))
+        for step in steps:
+            for task in step.waiting_tasks():
+                yield step, task
+
+    def outcomes(self) -> list[Outcome]:
+        """Return how all jobs fared, in the order in which they came."""
+        return [self._outcome_of(job) for job in self.job_by_id.values()]
+
+    def _outcome_of(self, job: JobProgress) -> Outcome:
+        ended_at = self.ended_at_by_job.get(job.id)
+        objectives = None
+        if ended_at is not None:
+            objectives = (ended_at - job.seen_at) / objective_seconds(job)
+        return Outcome(job.row.spec.core_seconds, objectives)
+
+
+def play(
+    load: float, cores: float, seconds: float, seed: int, rank: Rank = rank_step
+) -> list[Outcome]:
+    """Return how the jobs of a day fared that brings ``load`` times what fits."""
+    day = OverloadDay(cores, seed, rank)
+    per_second = load * cores / MEAN_CORE_SECONDS
+    arrivals = list(_arrivals(random.Random(seed), per_second, seconds))
+    arrivals.reverse()
+    for number in range(int((seconds + DRAIN_SECONDS) / ROUND_SECONDS)):
+        now = number * ROUND_SECONDS
+        day.end_tasks(now)
+        while arrivals and arrivals[-1][0] <= now:
+            arrived_at, spec = arrivals.pop()
+            day.submit(spec, arrived_at)
+        day.start_tasks(now)
+    return day.outcomes()
 
 
 def _pool_of(job: str) -> int:
@@ -129,22 +170,6 @@
         at += rng.expovariate(per_second)
 
 
-def _in_order(
-    jobs: list[JobProgress], outcomes: dict[str, Outcome], now: float, rank: Rank
-) -> Iterator[tuple[StepProgress, Task]]:
-    steps = [
-        step
-        for job in jobs
-        if job.id not in outcomes
-        for step in job.ready_steps(0)
-        if step.waiting_tasks()
-    ]
-    steps.sort(key=lambda step: rank(step, now))
-    for step in steps:
-        for task in step.waiting_tasks():
-            yield step, task
-
-
 def largest(outcomes: list[Outcome], first: float, last: float) -> list[Outcome]:
     """Return the jobs from one quantile of their work to another."""
     in_order = sorted(outcomes, key=lambda outcome: outcome.core_seconds)
