--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -129,7 +129,9 @@
         if not self._best_first:
             return None
         if task.excluded_workers:
-            best = max(self._best_first, key=lambda scored: self._suits(scored, task))
+            best = max(
+                self._best_first, key=lambda scored: self._score_for(scored, task)
+            )
             self._best_first.remove(best)
             heapq.heapify(self._best_first)
         else:
@@ -147,7 +149,8 @@
             score = _score(self._spec, candidate, self._context)
             heapq.heappush(self._best_first, ScoredWorker(-score, number))
 
-    def _suits(self, scored: ScoredWorker, task: Task) -> float:
+    def _score_for(self, scored: ScoredWorker, task: Task) -> float:
+        """Return a worker's score for one task, which may have failed there."""
         has_failed = self._candidates[scored.number].worker in task.excluded_workers
         return -scored.cost - (FAILED_THERE_PENALTY if has_failed else 0.0)
 
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -55,7 +55,10 @@
 
 
 class WorkerServices(NamedTuple):
-    """What rooms on a worker follow from, for one ``service_revision`` of its load."""
+    """What the services on a worker allow backfill, and the rooms found from that.
+
+    Valid for one ``service_revision`` of the worker's load, until its next report.
+    """
 
     service_revision: int
     budgets: list[ServiceBudget]
