Survive SIGHUP from the first statement of a server until it has exited

Change: __main__ installs a handler before its other imports, which records the signal until the loop handles it; it stays after the loop was closed, and the signal is ignored as the interpreter exits. The soak sends SIGHUP once the handler is installed.

--- a/savorydale/__main__.py
+++ b/savorydale/__main__.py
@@ -1,9 +1,16 @@
 """Command line of savorydale."""
 
+import sys
+
+from savorydale.utils.reload_signal import hold_reload_signal
+
+# The imports below take most of the start, and SIGHUP would end a server meanwhile.
+if not {"serve", "serve-jobs"}.isdisjoint(sys.argv[1:]):
+    hold_reload_signal()
+
 import json
 import os
 import pathlib
-import sys
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
--- a/savorydale/commands/serve.py
+++ b/savorydale/commands/serve.py
@@ -15,6 +15,7 @@
 from savorydale.entry import Entry, EntryDependencies
 from savorydale.messages.entry_types import EntryConfig, LoggingOptions
 from savorydale.storage.client import open_platform
+from savorydale.utils.reload_signal import handle_reload_signal
 from savorydale.utils.wall_clock import WallClock
 from savorydale.web.server import open_server
 from savorydale.workers.client import open_worker_client
@@ -48,6 +49,10 @@
     return asyncio.run(_serve(config))
 
 
+def _log_ignored_reload() -> None:
+    log.info("SIGHUP has no effect; the settings file is read at the start only")
+
+
 def _set_up_logging(options: LoggingOptions) -> None:
     handler = logging.StreamHandler(sys.stderr)
     if options["format"] == "json":
@@ -77,6 +82,7 @@
         entry = Entry(config, dependencies, random.Random())
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
+        handle_reload_signal(loop, _log_ignored_reload)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, stop.set)
         entry_task = asyncio.create_task(entry.run())
--- a/savorydale/commands/serve_jobs.py
+++ b/savorydale/commands/serve_jobs.py
@@ -1,6 +1,7 @@
 """Run a process that accepts and schedules jobs until it receives a signal to stop."""
 
 import asyncio
+import functools
 import logging
 import pathlib
 import signal
@@ -14,6 +15,7 @@
 from savorydale.messages.vm_types import VmConfig
 from savorydale.platform.http import open_http_client
 from savorydale.utils.json_logs import json_logs
+from savorydale.utils.reload_signal import handle_reload_signal
 
 log = logging.getLogger(__name__)
 
@@ -32,7 +34,7 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _check_settings_file, path, config)
+    handle_reload_signal(loop, functools.partial(_check_settings_file, path, config))
     async with open_http_client() as http:
         await JobEntry(config, http, counters, uuid.uuid4().hex).run(stop)
 
--- a/standins/entry_process.py
+++ b/standins/entry_process.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import sys
@@ -87,6 +88,14 @@
         self.subprocess.send_signal(stop_signal)
         await self.subprocess.wait()
 
+    def handles(self, signal_number: signal.Signals) -> bool:
+        """Return whether the process has installed a handler for a signal."""
+        if self.subprocess is None or self.subprocess.returncode is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self.subprocess.pid}/status").read_text()
+        caught = re.search(r"SigCgt:\s*([0-9a-f]+)", status)
+        return caught is not None and bool(int(caught[1], 16) & 1 << signal_number - 1)
+
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Return whether the readiness check of the load balancer succeeds."""
         url = f"http://127.0.0.1:{self._health_port}/-/readiness"
