Send no start order on a scheduler's lease that may have lapsed

Cause: between the commit of an assignment and its start order, nothing looked at the lease again. A VM that was suspended there, whose steady clock does not count that time, sent the orders on waking; only the fencing token stopped them, and a worker that restarted meanwhile has seen no token. Change: a start is sent only within the lease's duration since its last renewal was sent, suspension counted (CLOCK_BOOTTIME); else the run is dropped, counted (start.lease_not_current) and placed again after a commit that renews the lease. A process that is only stopped was safe before: its loop's clock goes on, and the contact with the worker is too old.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 from savorydale.counters import Counters
@@ -62,6 +63,8 @@
 class WorkerLink:
     """Sends orders to one worker and tracks its runs.
 
+    No start order is sent unless ``may_start()`` is true at that moment.
+
     ``last_contact_at`` is on the loop's clock. Ended runs up to ``processed_number``
     were passed to the listener; those up to ``acknowledged_number`` are durable.
     """
@@ -74,6 +77,7 @@
         epoch: int,
         lease_max_ms: float,
         counters: Counters,
+        may_start: Callable[[], bool] = lambda: True,
     ):
         self.info = info
         self.load = WorkerLoad(info.capacity)
@@ -89,6 +93,7 @@
         self._token = epoch * TOKENS_PER_EPOCH
         self._lease_clock = LeaseClock(lease_max_ms)
         self._counters = counters
+        self._may_start = may_start
         self._info_updated_at = asyncio.get_running_loop().time()
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -358,6 +363,10 @@
             if self.run_by_task.get(run.task) is not run or run.stop_requested:
                 self._drop_run(run, "stopped before its start")
                 return
+            if not self._may_start():
+                self._counters.increment("start.lease_not_current")
+                self._drop_run(run, "the scheduler's lease may be lost")
+                return
             token = self._token
             lease_end_ms = self._next_lease_end_ms()
             if lease_end_ms is None:
--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -8,6 +8,7 @@
 from savorydale.exceptions import StoreError
 from savorydale.jobs.rows import LEASE_KEY
 from savorydale.ownership.lease import (
+    LEASE_SECONDS,
     EntryIdentity,
     LeaseRow,
     SchedulerLease,
@@ -18,7 +19,6 @@
 
 POLL_INTERVAL_SECONDS = 0.5
 POLL_TIMEOUT_SECONDS = 0.4
-LEASE_SECONDS = 2.0
 RENEWAL_INTERVAL_SECONDS = 0.5
 # Multiples of the store's response time.
 RENEWAL_RESPONSE_TIMES = 8  # a renewal queues, and may need a retry
--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -29,8 +29,10 @@
     read_row,
 )
 from savorydale.utils.json_values import load_json, to_float, to_int, to_text
+from savorydale.utils.suspension import suspended_seconds
 
 COMMIT_TIMEOUT_SECONDS = 0.6
+LEASE_SECONDS = 2.0
 RETRY_DELAY_SECONDS = 0.05
 MAX_RETRY_DELAY_SECONDS = 0.1
 MAX_WRITES_PER_TRANSACTION = 96  # the store allows 100 conditions and writes
@@ -83,7 +85,8 @@
     """The lease while this entry holds it.
 
     ``renewed_at`` is when the latest successful transaction was sent, on the loop's
-    clock.
+    clock, and ``suspended_seconds_at_renewal`` is how long the machine had been
+    suspended until then.
     """
 
     store: RowStore
@@ -95,6 +98,15 @@
     response_timeout: ResponseTimeout = dataclasses.field(
         default_factory=ResponseTimeout
     )
+    suspended_seconds_at_renewal: float = dataclasses.field(
+        default_factory=suspended_seconds
+    )
+
+    def is_current(self) -> bool:
+        """Return whether no other entry can have acquired the lease meanwhile."""
+        age_seconds = asyncio.get_running_loop().time() - self.renewed_at
+        age_seconds += suspended_seconds() - self.suspended_seconds_at_renewal
+        return age_seconds < LEASE_SECONDS
 
     async def commit(self, writes: list[RowWrite]) -> None:
         """Write rows and renew the lease, retrying until the outcome is known.
@@ -143,6 +155,7 @@
         delay_seconds = RETRY_DELAY_SECONDS
         while True:
             sent_at = loop.time()
+            suspended_seconds_at_send = suspended_seconds()
             timeout = self.response_timeout.seconds
             outcome = await self.store.transact(transaction, timeout)
             if isinstance(outcome, OutcomeUnknown):
@@ -151,11 +164,11 @@
                 self.response_timeout.record_response(loop.time() - sent_at)
             match outcome:
                 case Committed(version):
-                    self._advance(version, sent_at)
+                    self._advance(version, sent_at, suspended_seconds_at_send)
                     return
                 case Conflict(row_by_name):
                     version = self._resolve_conflict(row, row_by_name.get(LEASE_KEY))
-                    self._advance(version, sent_at)
+                    self._advance(version, sent_at, suspended_seconds_at_send)
                     return
                 case NotDone(reason) | OutcomeUnknown(reason):
                     log.info(
@@ -165,9 +178,12 @@
             await asyncio.sleep(delay_seconds)
             delay_seconds = min(2 * delay_seconds, MAX_RETRY_DELAY_SECONDS)
 
-    def _advance(self, version: int, sent_at: float) -> None:
+    def _advance(
+        self, version: int, sent_at: float, suspended_seconds_at_send: float
+    ) -> None:
         self.version = version
         self.renewed_at = sent_at
+        self.suspended_seconds_at_renewal = suspended_seconds_at_send
 
     def _resolve_conflict(self, row: LeaseRow, stored: StoredRow | None) -> int:
         """Return the version if an earlier attempt of the same write took effect.
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -205,6 +205,7 @@
             self._lease.epoch,
             self._timing.lease_max_ms,
             self._counters,
+            self._lease.is_current,
         )
         self._state.link_by_worker[info.worker] = link
         self._run_link(link)
