Follow a table from the version of its first page; keep unknown cancellations

Cause: a range of more than 500 rows is read in pages, each at another moment, and the changes were followed from the last page's version. What changed meanwhile in a part that was read before was missed: a job was never run, a worker that had left got tasks, a cancellation was not seen. And a holder that was asked to cancel a job which it did not know deleted the request: the next holder read the job and started it. Change: a range has its first page's version; a job unknown to the holder is recorded as cancelled, with its rows deleted. Seen failing on: job submitted between pages (not run in 10 s), leaving worker (got tasks), first page's version (6 for 5); the unknown job's rows stayed. After: all pass.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -87,7 +87,6 @@
         self._clock_offset_ms = 0.0
         self._clock_logged_at = 0.0
         self._is_stopping = False
-        self._scheduler: JobScheduler | None = None
         self._lease: SchedulerLease | None = None
         vm = config["vm"]
         cores = vm["processor_share"] * vm["processor_count"]
--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -384,14 +384,14 @@
         """Record the terminal state of a job; its runs may still be stopping."""
         self._set_status(job, status, ended_ms)
 
-    def set_aside(self, job_id: str, ended_ms: int) -> None:
-        """Remove a job that cannot be scheduled, known or not, and show it as failed.
+    def discard(self, job_id: str, status: JobStatus, ended_ms: int) -> None:
+        """Remove a job, known or not, and record its terminal state.
 
-        Its queue is not known if its row cannot be decoded.
+        The queue of a job that is not known is left empty.
         """
         job = self.job_by_id.get(job_id)
         queue = "" if job is None else job.queue.name
-        self._changed_states[job_id] = StateRow(queue, JobStatus.FAILED, ended_ms)
+        self._changed_states[job_id] = StateRow(queue, status, ended_ms)
         self._remove(job_id)
 
     def remove_if_idle(self, job: JobProgress) -> bool:
--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -87,14 +87,18 @@
         if end:
             params["to"] = end
         rows: list[StoredRow] = []
+        first_body: JsonObject | None = None
         while True:
             if start:
                 params["from"] = start
             body = await self._read("rows-get", params, timeout_seconds)
+            # Each page shows another moment. Changes that an earlier page misses come
+            # after the version of the first one.
+            first_body = first_body or body
             page = _parse_rows(body)
             rows += page
             if not body.get("hasMore") or not page:
-                return _make_range(rows, body)
+                return _make_range(rows, first_body)
             start = page[-1].name.key + "\x01"
 
     async def read_changes(
--- a/savorydale/scheduler/admission.py
+++ b/savorydale/scheduler/admission.py
@@ -46,11 +46,22 @@
         """Show a job as failed, stop its runs and schedule it no more."""
         self._counters.increment("job.set_aside")
         log.error("job is set aside", extra={"job": job, "reason": reason})
-        ended_ms = int(store_ms)
-        self._state.job_tracker.set_aside(job, ended_ms)
-        self._state.ended_ms_by_job[job] = ended_ms
+        self._discard(job, JobStatus.FAILED, store_ms)
         self._state.advice.remove_job(job)
         for link in self._state.links:
             for run in list(link.run_by_task.values()):
                 if run.task.job == job:
                     link.stop(run)
+
+    def cancel_unknown(self, job: str, store_ms: float) -> None:
+        """Record the cancellation of a job whose row was not read, or not yet.
+
+        Otherwise, a later holder would read the job without its cancellation.
+        """
+        log.warning("unknown job is cancelled", extra={"job": job})
+        self._discard(job, JobStatus.CANCELLED, store_ms)
+
+    def _discard(self, job: str, status: JobStatus, store_ms: float) -> None:
+        ended_ms = int(store_ms)
+        self._state.job_tracker.discard(job, status, ended_ms)
+        self._state.ended_ms_by_job[job] = ended_ms
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -347,9 +347,12 @@
     def cancel_job(self, job_id: str) -> None:
         """Stop the runs of a job and set its status to cancelled."""
         job = self._state.job_tracker.job_by_id.get(job_id)
+        if job is None and job_id in self._state.ended_ms_by_job:
+            self._state.write(cancel_key(job_id), None)
+            return
         if job is None:
-            key = cancel_key(job_id)
-            self._state.write(key, None)
+            self._admission.cancel_unknown(job_id, self._store_now_ms())
+            self.wake()
             return
         if job.status.is_terminal:
             return
--- a/savorydale/storage/rows.py
+++ b/savorydale/storage/rows.py
@@ -44,10 +44,11 @@
 
 
 class RowRange(NamedTuple):
-    """Rows of a table at one moment.
+    """Rows of a table.
 
-    ``version`` is the newest version of the store; ``now_ms`` is the time on its steady
-    clock.
+    Long ranges are read in several parts, so later rows may show a later moment.
+    ``version`` is the newest version of the store as the first row was read, after
+    which changes must be followed; ``now_ms`` is the time on its steady clock then.
     """
 
     rows: tuple[StoredRow, ...]
@@ -100,7 +101,10 @@
     async def read_range(
         self, table: str, start: str = "", end: str = "", *, timeout_seconds: float
     ) -> RowRange:
-        """Return all rows with ``start`` <= key < ``end``, sorted by key."""
+        """Return all rows with ``start`` <= key < ``end``, sorted by key.
+
+        A row that was changed after the range's version may be old, new or missing.
+        """
 
     async def read_changes(
         self, table: str, after_version: int, wait_seconds: float
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -113,6 +113,15 @@
     assert [row.name.key for row in page.rows] == ["a", "b"]
 
 
+def test_changes_between_two_pages_of_a_range_are_followed():
+    # A row that is inserted into the first page after it was read comes with a feed
+    # that starts from the first page's version.
+    first = HttpReply(200, {"rows": [encoded_row("b")], "hasMore": True, "ver": 5})
+    last = HttpReply(200, {"rows": [encoded_row("c")], "hasMore": False, "ver": 6})
+    page = asyncio.run(make_store(first, last).read_range("t", timeout_seconds=1.0))
+    assert page.version == 5
+
+
 @pytest.mark.parametrize(
     ("reply", "error"),
     [
--- a/savorydale/tests/takeover_tests.py
+++ b/savorydale/tests/takeover_tests.py
@@ -1,7 +1,8 @@
 """Takeover of the scheduler's lease: loading the state, and the choice of the holder.
 
 Guarded failures: a cancellation that is missed while the jobs table cannot be followed,
-a lease that lapses while the state loads slowly, and a small VM that keeps the lease.
+a job, a cancellation or a leaving worker that is missed between two pages of a table, a
+lease that lapses while the state loads slowly, and a small VM that keeps the lease.
 """
 
 import asyncio
@@ -10,12 +11,16 @@
 from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import StepSpec
 from savorydale.jobs.rows import JOBS_TABLE, STEPS_TABLE, JobStatus
+from savorydale.scheduler.admission import JobAdmission
 from savorydale.storage.follow import SNAPSHOT_TIMEOUT_SECONDS
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
+from standins.row_store import PAGE_ROWS
 from standins.task_worker import Plan
 
 JOB = "00000000000000a1"
+WORKERS_TABLE = "servers"
+LEAVING_WORKER = "w0"
 STEP = StepSpec(3, 500, 100, estimate_ms=500)
 
 
@@ -63,6 +68,119 @@
         assert await branch.status(other, JOB) is JobStatus.CANCELLED
 
 
+@contextlib.contextmanager
+def changed_between_pages(branch, table, change):
+    """Call ``change`` once, after the first page of ``table`` was read."""
+    handle = branch.store.handle
+    changed = []
+
+    async def handle_and_change(method, path, params, body):
+        reply = await handle(method, path, params, body)
+        is_first_page = "hasMore" in reply.body and reply.body["hasMore"]
+        if is_first_page and params["table"] == table and not changed:
+            changed.append(table)
+            await change()
+        return reply
+
+    branch.store.handle = handle_and_change
+    yield changed
+    branch.store.handle = handle
+
+
+def fill_table(branch, table, value):
+    for number in range(PAGE_ROWS + 10):
+        branch.store.put(table, f"x{number:015x}", value)
+
+
+@contextlib.asynccontextmanager
+async def submitted_between_pages(cancels):
+    """Start a holder for which ``JOB`` is submitted while it loads the jobs."""
+    async with open_branch(entries=1) as branch:
+        await branch.kill_entry("e0")
+        fill_table(branch, JOBS_TABLE, b"{")
+        entry = branch.start_entry("e1")
+        await branch.wait_until(lambda: entry.read_configuration(), 3)
+
+        async def change():
+            await branch.submit("e1", JOB, STEP)
+            if cancels:
+                await entry.job_store.cancel(JOB, 2.0)
+
+        with changed_between_pages(branch, JOBS_TABLE, change) as changed:
+            await branch.wait_until(lambda: changed, 8)
+            yield branch, entry
+
+
+@on_virtual_time
+async def test_job_submitted_between_two_pages_is_run():
+    async with submitted_between_pages(cancels=False) as (branch, _):
+        await branch.wait_for_status("e1", JOB, JobStatus.COMPLETED, 10)
+
+
+@on_virtual_time
+async def test_job_cancelled_between_two_pages_is_not_started_by_any_holder():
+    async with submitted_between_pages(cancels=True) as (branch, _):
+        await asyncio.sleep(4)
+        await branch.kill_entry("e1")
+        branch.start_entry("e2")
+        await asyncio.sleep(8)
+        assert not branch.checker.starts
+        assert await branch.status("e2", JOB) is JobStatus.CANCELLED
+
+
+def test_cancelled_job_that_the_holder_does_not_know_is_never_started(monkeypatch):
+    @on_virtual_time
+    async def run():
+        async with open_branch(entries=1) as branch:
+            entry = branch.entry_by_name["e0"]
+            with monkeypatch.context() as patch:
+                patch.setattr(JobAdmission, "admit", lambda *arguments: None)
+                await branch.submit("e0", JOB, STEP)
+                await asyncio.sleep(1)
+                await entry.job_store.cancel(JOB, 2.0)
+                await asyncio.sleep(1)
+            await branch.kill_entry("e0")
+            branch.start_entry("e1")
+            await asyncio.sleep(8)
+            assert not branch.checker.starts
+            assert await branch.status("e1", JOB) is JobStatus.CANCELLED
+
+    run()
+
+
+@on_virtual_time
+async def test_worker_that_leaves_between_two_pages_gets_no_task():
+    async with open_branch(entries=1) as branch:
+        await branch.kill_entry("e0")
+        fill_table(branch, WORKERS_TABLE, b"{")
+
+        async def leave():
+            branch.store.delete(WORKERS_TABLE, LEAVING_WORKER)
+
+        with changed_between_pages(branch, WORKERS_TABLE, leave) as changed:
+            entry = branch.start_entry("e0")
+            workers = record_started_workers(entry)
+            await branch.wait_until(lambda: changed, 8)
+            await asyncio.sleep(2)
+        await branch.submit("e0", JOB, STEP._replace(task_count=50))
+        await branch.wait_for_status("e0", JOB, JobStatus.COMPLETED, 20)
+        assert len(workers) == 50
+        assert LEAVING_WORKER not in workers
+
+
+def record_started_workers(entry):
+    """Return the list to which the worker of each start order is added."""
+    workers = []
+    start = entry._orders.start
+
+    async def record_and_start(target, order):
+        workers.append(target.worker)
+        return await start(target, order)
+
+    entry._orders.start = record_and_start
+    return workers
+
+
 @on_virtual_time
 async def test_lease_is_renewed_while_the_state_is_loaded():
     async def slow_down(table, options):
