--- a/savorydale/__main__.py
+++ b/savorydale/__main__.py
@@ -97,6 +97,30 @@
         return ExitCode.OK
 
 
+class ReportCommand(BaseCommand):
+    """savorydale report."""
+
+    name = "report"
+    description = "Count jobs by outcome and by cause, from the logs of all processes."
+    arguments = [
+        argument("logs", "Log files; standard input if left out.", True, True),
+    ]
+    help = "Example: savorydale report entry-1.log entry-2.log"
+
+    def run_command(self) -> int:
+        """Print the report."""
+        from savorydale.commands.report import report
+
+        paths = [pathlib.Path(path) for path in self.argument("logs") or []]
+        lines = report(paths, sys.stdin)
+        if not lines:
+            self.line_error("No log line mentions a job.")
+            return ExitCode.FAILED
+        for text in lines:
+            self.line(text)
+        return ExitCode.OK
+
+
 class CheckCommand(BaseCommand):
     """savorydale check."""
 
@@ -379,6 +403,7 @@
     ServeCommand,
     ServeJobsCommand,
     ExplainCommand,
+    ReportCommand,
     CheckCommand,
     PlanCommand,
     ApplyCommand,
--- a/savorydale/tests/commands/explain_tests.py
+++ b/savorydale/tests/commands/explain_tests.py
@@ -3,7 +3,9 @@
 import io
 import json
 
-from savorydale.commands.explain import build_timeline, explain, read_log
+from savorydale.commands.explain import explain
+from savorydale.logs.reading import read_log
+from savorydale.logs.timeline import build_timeline
 
 JOB = "5c0e7a21d94b36f8"
 
