Keep the work of a worker that is slow to report

Cause: a renewal waited 0.5 s for its response, besides the time that the worker was asked to wait. A worker whose responses take longer was counted as silent: its lease was not extended, so that it killed its runs, which then started elsewhere, while it had carried out every order. Change: the time allowed follows the last response time (twice that, and doubled after a response that is missing), from 0.5 to 3 s. A worker that cannot be connected to costs no more time than before.

--- a/savorydale/orders/interface.py
+++ b/savorydale/orders/interface.py
@@ -164,13 +164,15 @@
     """Renew the lease of all runs of a worker and list them.
 
     The worker forgets ended runs up to ``acknowledged_number``. It responds after
-    ``wait_ms`` or when the next run ends. ``lease_end_ms`` is on the worker's clock;
+    ``wait_ms`` or when the next run ends; ``response_timeout_seconds`` is the time
+    allowed for the response besides. ``lease_end_ms`` is on the worker's clock;
     ``None`` leaves the lease unchanged.
     """
 
     acknowledged_number: int
     lease_end_ms: int | None
     wait_ms: int
+    response_timeout_seconds: float = 0.5
 
 
 class WorkerOrders(Protocol):
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -33,6 +33,9 @@
 
 RENEW_WAIT_MS = 500
 RENEW_RETRY_SECONDS = 0.1
+MIN_RENEW_TIMEOUT_SECONDS = 0.5
+MAX_RENEW_TIMEOUT_SECONDS = 3.0  # a worker may be slow to answer, but at work
+RENEW_TIMEOUT_RATIO = 2.0  # of the last response time, or after a timeout
 ERROR_RETRY_SECONDS = 1.0  # after an unexpected error, which is logged each time
 ACKNOWLEDGE_WAIT_SECONDS = 0.3
 CONTACT_TIMEOUT_SECONDS = 2.0  # a few failed renewals are tolerated before starts stop
@@ -98,6 +101,7 @@
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._polls_immediately = True
+        self._renew_timeout_seconds = MIN_RENEW_TIMEOUT_SECONDS
         self._acknowledged = asyncio.Event()
         self._failure: BaseException | None = None
 
@@ -218,12 +222,16 @@
             self._number_to_acknowledge(),
             self._next_lease_end_ms(),
             0 if immediately else RENEW_WAIT_MS,
+            self._renew_timeout_seconds,
         )
         self._polls_immediately = True
         outcome = await self._orders.renew(self._target(token), order)
         match outcome:
             case Renewed():
                 self._polls_immediately = False
+                self._adapt_renew_timeout(
+                    loop.time() - sent_at - order.wait_ms / MILLISECONDS_PER_SECOND
+                )
                 self._apply_renewal(outcome, sent_at, token)
                 await self._wait_for_acknowledgement()
                 return
@@ -237,10 +245,18 @@
                 )
             case Unanswered(detail):
                 self._counters.increment("hold.unanswered")
+                self._adapt_renew_timeout(self._renew_timeout_seconds)
                 log.debug("lease renewal unanswered", extra=self._extra(detail=detail))
         self._drop_lapsed_runs(loop.time())
         await asyncio.sleep(RENEW_RETRY_SECONDS)
 
+    def _adapt_renew_timeout(self, response_seconds: float) -> None:
+        """Allow more time for the next response than the last one took."""
+        seconds = RENEW_TIMEOUT_RATIO * response_seconds
+        self._renew_timeout_seconds = min(
+            MAX_RENEW_TIMEOUT_SECONDS, max(MIN_RENEW_TIMEOUT_SECONDS, seconds)
+        )
+
     async def _wait_for_acknowledgement(self) -> None:
         """Wait for ended runs to become durable, so that they are not listed again."""
         if self.processed_number <= self.acknowledged_number:
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -30,7 +30,6 @@
 )
 
 ORDER_TIMEOUT_SECONDS = 1.0
-RENEW_MARGIN_SECONDS = 0.5
 INCARNATION_HEADER = "Savorydale-Target-Instance"
 MILLISECONDS_PER_SECOND = 1000
 
@@ -73,7 +72,8 @@
         }
         if order.lease_end_ms is not None:
             body["deadlineMs"] = order.lease_end_ms
-        timeout = RENEW_MARGIN_SECONDS + order.wait_ms / MILLISECONDS_PER_SECOND
+        wait_seconds = order.wait_ms / MILLISECONDS_PER_SECOND
+        timeout = order.response_timeout_seconds + wait_seconds
         outcome = await self._send_request(target, "hold", body, timeout)
         if not isinstance(outcome, HttpReply):
             return outcome
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -41,6 +41,7 @@
     is_partitioned: bool = False
     refuses: bool = False
     delay_seconds: float = 0.0
+    reply_delay_seconds: float = 0.0
     lost_response_probability: float = 0.0
     late_order_probability: float = 0.0
     late_order_seconds: float = 3.0
@@ -81,6 +82,7 @@
             branch.spawn(self._execute_late(server, method, path, params, body, faults))
             await asyncio.sleep(NO_REPLY_SECONDS)
         reply = await server.handle(method, path, params, body)
+        await asyncio.sleep(faults.reply_delay_seconds)
         if branch.rng.random() < faults.lost_response_probability:
             await asyncio.sleep(NO_REPLY_SECONDS)
         return HttpReply(reply.status, json.loads(json.dumps(reply.body)))
