Bound the rate of renewals of a large fleet

Cause: the one scheduling process renews each worker's lease at least twice a second. Change: from 300 workers on, workers may wait longer before they respond to a renewal, up to the 2 s that they accept, so that all together cost 600 a second. A worker still responds at once when a run ends. The time without contact after which a worker gets no starts grows by the same wait; up to 300 workers nothing changes.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -29,16 +29,16 @@
     WorkerTarget,
 )
 from savorydale.orders.lease_clock import LeaseClock
+from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
 
-RENEW_WAIT_MS = 500
 RENEW_RETRY_SECONDS = 0.1
 MIN_RENEW_TIMEOUT_SECONDS = 0.5
 MAX_RENEW_TIMEOUT_SECONDS = 3.0  # a worker may be slow to answer, but at work
 RENEW_TIMEOUT_RATIO = 2.0  # of the last response time, or after a timeout
 ERROR_RETRY_SECONDS = 1.0  # after an unexpected error, which is logged each time
 ACKNOWLEDGE_WAIT_SECONDS = 0.3
-CONTACT_TIMEOUT_SECONDS = 2.0  # a few failed renewals are tolerated before starts stop
+CONTACT_TIMEOUT_SECONDS = 1.5  # after the wait, for a few failed renewals
 STOP_RETRY_SECONDS = 1.0
 MAX_CONCURRENT_ORDERS = 2
 TOKENS_PER_EPOCH = 1_000_000
@@ -89,6 +89,7 @@
         self.processed_number = 0
         self.last_contact_at: float | None = None
         self.is_registered = True
+        self.renew_wait_ms = MIN_WAIT_MS
         self.is_closed = False
         self.born_ms: int | None = None
         self._orders = orders
@@ -127,9 +128,14 @@
         """Return whether the worker has responded recently."""
         return (
             self.last_contact_at is not None
-            and now - self.last_contact_at < CONTACT_TIMEOUT_SECONDS
+            and now - self.last_contact_at < self._contact_timeout_seconds
         )
 
+    @property
+    def _contact_timeout_seconds(self) -> float:
+        wait_seconds = self.renew_wait_ms / MILLISECONDS_PER_SECOND
+        return wait_seconds + CONTACT_TIMEOUT_SECONDS
+
     # Runs on the worker
 
     def restore(self, run: Run) -> None:
@@ -221,7 +227,7 @@
         order = RenewOrder(
             self._number_to_acknowledge(),
             self._next_lease_end_ms(),
-            0 if immediately else RENEW_WAIT_MS,
+            0 if immediately else self.renew_wait_ms,
             self._renew_timeout_seconds,
         )
         self._polls_immediately = True
@@ -281,7 +287,7 @@
         self.born_ms = renewed.born_ms
         if (
             self.last_contact_at is None
-            or now - self.last_contact_at > CONTACT_TIMEOUT_SECONDS
+            or now - self.last_contact_at > self._contact_timeout_seconds
         ):
             log.info(
                 "worker answers",
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -21,6 +21,7 @@
     WorkerInfo,
     WorkerOrders,
 )
+from savorydale.orders.renewal_wait import renewal_wait_ms
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.ownership.election import RENEWAL_INTERVAL_SECONDS
@@ -127,6 +128,7 @@
                 self._restore_link(worker, runs)
             for info in list(self._info_by_worker.values()):
                 self._open_link(info)
+            self._update_renewal_waits()
             feed = JobFeed(self)
             feed.apply(loaded.cancellations, loaded.jobs_version)
             self._finish_decided_jobs()
@@ -172,8 +174,14 @@
         if self._task_group is not None:
             for info in info_by_worker.values():
                 self._open_link(info)
+        self._update_renewal_waits()
         self.wake()
 
+    def _update_renewal_waits(self) -> None:
+        wait_ms = renewal_wait_ms(len(self._info_by_worker))
+        for link in self._state.links:
+            link.renew_wait_ms = wait_ms
+
     def _open_link(self, info: WorkerInfo) -> None:
         link = self._state.link_by_worker.get(info.worker)
         if link is None or link.is_closed:
