--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -39,6 +39,8 @@
 SCHEDULER_TABLE = "scheduler"
 CANCEL_SUFFIX = ".cancel"
 SIGNIFICANT_DIGITS = 6
+WAITING_TASK = 0  # in a step's row: a task that has never run
+DONE_TASK = 1  # in a step's row; its runs no longer matter
 LEASE_KEY = RowKey(SCHEDULER_TABLE, "lease")
 
 
@@ -201,10 +203,17 @@
 
 
 def encode_step(rows: list[TaskRow]) -> bytes:
-    """Encode the progress of a step, one item per task; 0 if it has never run."""
-    return _dump(
-        [[int(row.done), *row[1:4], row.checkpoint] if row.run else 0 for row in rows]
-    )
+    """Encode the progress of a step, one item per task.
+
+    The row is written at each start and end, so the two most common items are short.
+    """
+    return _dump([_encode_task(row) for row in rows])
+
+
+def _encode_task(row: TaskRow) -> list[Any] | int:
+    if row.done:
+        return DONE_TASK
+    return [0, *row[1:]] if row.run else WAITING_TASK
 
 
 def decode_step(value: bytes) -> list[TaskRow]:
@@ -217,8 +226,10 @@
 
 
 def _decode_task(item: Any) -> TaskRow:
-    if not item:
+    if item == WAITING_TASK:
         return TaskRow(False, 0, 0, "", "")
+    if item == DONE_TASK:
+        return TaskRow(True, 1, 0, "", "")
     done, run, failures, worker, checkpoint = item
     return TaskRow(
         bool(done),
