--- a/savorydale/jobs/store.py
+++ b/savorydale/jobs/store.py
@@ -49,6 +49,7 @@
 MAX_UNKNOWN_OUTCOMES = 2
 MAX_REFUSALS = 3  # attempts that the store refuses before the job is not accepted
 SUMMARY_MAX_AGE_MS = 2_000
+MAX_CACHED_STATES = 10_000  # about 3 MB
 
 log = logging.getLogger(__name__)
 
@@ -88,7 +89,10 @@
 
 
 class JobStore:
-    """Jobs in the store, with a cache of terminal states, which never change."""
+    """Jobs in the store, with a cache of terminal states, which never change.
+
+    The cache keeps the states that were read last.
+    """
 
     def __init__(self, store: RowStore):
         self._store = store
@@ -225,9 +229,14 @@
             return None, ABSENT
         state = decode_state(stored.value)
         if state.status.is_terminal:
-            self._terminal_state_by_job[job] = state
+            self._cache_terminal_state(job, state)
         return state, stored.version
 
+    def _cache_terminal_state(self, job: str, state: StateRow) -> None:
+        self._terminal_state_by_job[job] = state
+        if len(self._terminal_state_by_job) > MAX_CACHED_STATES:
+            del self._terminal_state_by_job[next(iter(self._terminal_state_by_job))]
+
     async def _read_row(
         self, row_key: RowKey, deadline: float
     ) -> tuple[StoredRow | None, RowRange]:
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepSpec
-from savorydale.jobs.tracker import StepProgress, Task
+from savorydale.jobs.progress import StepProgress, Task
 from savorydale.orders.runs import WorkerLoad
 
 SERVICE_USE_RATIO = 0.5  # share of its reserved CPU that a service uses on average
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -13,9 +13,7 @@
 from savorydale.exceptions import RowFormatError, StoreError
 from savorydale.jobs.model import (
     Configuration,
-    JobSpec,
     QueueSettings,
-    StepSpec,
 )
 from savorydale.jobs.rows import JobRow
 from savorydale.jobs.store import (
@@ -25,14 +23,8 @@
     JobStore,
 )
 from savorydale.jobs.validation import JobLimits, find_job_errors
-from savorydale.utils.json_values import (
-    JsonObject,
-    load_json_object,
-    to_int,
-    to_list,
-    to_object,
-    to_text,
-)
+from savorydale.platform.submissions import decode_job_request
+from savorydale.utils.json_values import JsonObject
 
 DEADLINE_HEADER = "Savorydale-Deadline-Ms"
 DEADLINE_DIGITS = re.compile(r"[0-9]{1,9}\Z")
@@ -40,7 +32,6 @@
 RESPONSE_MARGIN_SECONDS = 0.1  # the response must reach the caller by its deadline
 MIN_TIMEOUT_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1
-MAX_PAYLOAD_BYTES = 4_000
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_REPORTED_ERRORS = 10
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
@@ -257,52 +248,6 @@
         return response
 
 
-def decode_job_request(raw: bytes) -> JobSpec:
-    """Decode the body of a submission.
-
-    Raises
-    ------
-    RowFormatError
-        If the body is malformed.
-    """
-    data = load_json_object(raw)
-    payload = to_text(data.get("spec", ""))
-    if len(payload.encode(errors="surrogatepass")) > MAX_PAYLOAD_BYTES:
-        raise RowFormatError(f"spec is longer than {MAX_PAYLOAD_BYTES} bytes")
-    return JobSpec(
-        payload,
-        tuple(_decode_step(to_object(step)) for step in to_list(data.get("steps"))),
-        to_int(data.get("startAtMs") or 0),
-        to_int(data.get("intervalMs") or 0),
-        to_int(data.get("repeatCount") or 0),
-    )
-
-
-def _decode_step(step: JsonObject) -> StepSpec:
-    # Callers omit `mayMiss` for a limit of 0; the limit applies only to services.
-    is_service = bool(step.get("longRunning"))
-    return StepSpec(
-        task_count=to_int(step.get("count") or 0),
-        cpu_millicores=to_int(step.get("cpu") or 0),
-        memory_mb=to_int(step.get("memMb") or 0),
-        accelerators=to_int(step.get("gpu") or 0),
-        estimate_ms=to_int(step.get("estRuntimeMs") or 0),
-        after=tuple(dict.fromkeys(map(to_int, to_list(step.get("after") or [])))),
-        checkpointing=bool(step.get("checkpointing")),
-        gang=bool(step.get("gang")),
-        same_rack=bool(step.get("sameRack")),
-        required_label=to_text(step.get("requiredLabel") or ""),
-        data_rack=to_text(step.get("affinity") or ""),
-        max_per_worker=to_int(step.get("antiAffinity") or 0),
-        speculative=bool(step.get("speculative")),
-        long_running=is_service,
-        image=to_text(step.get("image") or ""),
-        latency_target_ms=to_int(step.get("targetMs") or 0),
-        backfill=bool(step.get("fills")),
-        max_unavailable=to_int(step.get("mayMiss") or 0) if is_service else None,
-    )
-
-
 def _parse_timeout_seconds(request: web.Request) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
     seconds = DEFAULT_DEADLINE_SECONDS
--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -21,7 +21,7 @@
 from typing import NamedTuple
 
 from savorydale.jobs.model import MILLISECONDS_PER_SECOND
-from savorydale.jobs.tracker import JobProgress, StepProgress, Task
+from savorydale.jobs.progress import JobProgress, StepProgress, Task
 
 # Multiples of a job's objective.
 CUTOFF_OBJECTIVES = 3.0  # a job that ends later has no value
--- a/savorydale/scheduler/admission.py
+++ b/savorydale/scheduler/admission.py
@@ -8,8 +8,8 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import RowFormatError
+from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JobStatus, decode_job
-from savorydale.jobs.tracker import JobProgress
 from savorydale.jobs.validation import STORED_JOB_LIMITS, find_job_errors
 from savorydale.scheduler.state import SchedulerState
 from savorydale.storage.rows import StoredRow
--- a/savorydale/scheduler/load_report.py
+++ b/savorydale/scheduler/load_report.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepKind
-from savorydale.jobs.tracker import JobProgress
+from savorydale.jobs.progress import JobProgress
 from savorydale.orders.runs import Run, RunState
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.state import SchedulerState
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -8,7 +8,7 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.model import Configuration, QueueSettings
-from savorydale.jobs.tracker import StepProgress, Task
+from savorydale.jobs.progress import StepProgress, Task
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyService, StepName
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from savorydale.exceptions import RowFormatError
+from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -17,7 +18,6 @@
     decode_step,
     decode_tail_fit,
 )
-from savorydale.jobs.tracker import JobProgress
 from savorydale.orders.runs import Run
 from savorydale.scheduler.admission import JobAdmission
 from savorydale.scheduler.state import SchedulerState
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -13,8 +13,9 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.model import Configuration
+from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JOBS_TABLE, JobStatus, cancel_key
-from savorydale.jobs.tracker import EndEffect, JobProgress
+from savorydale.jobs.tracker import EndEffect
 from savorydale.orders.interface import (
     EndedRun,
     Resources,
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -9,6 +9,7 @@
 import json
 import random
 from collections.abc import AsyncIterator, Callable
+from typing import Any
 
 from savorydale.config.vm import parse_vm_config
 from savorydale.counters import Counters
@@ -16,6 +17,7 @@
 from savorydale.job_entry import JobEntry
 from savorydale.jobs.model import JobSpec, StepSpec
 from savorydale.jobs.rows import JobStatus
+from savorydale.orders.interface import WorkerTarget
 from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
 from savorydale.tests.invariant_checker import InvariantChecker
 from standins.row_store import RowStoreStandin
@@ -275,6 +277,19 @@
                 await asyncio.sleep(0.02)
 
 
+def record_calls(entry: JobEntry, name: str) -> list[tuple[WorkerTarget, Any]]:
+    """Return the list to which each call of ``start`` or ``renew`` is added."""
+    calls: list[tuple[WorkerTarget, Any]] = []
+    send = getattr(entry._orders, name)
+
+    async def record_and_send(target, order):
+        calls.append((target, order))
+        return await send(target, order)
+
+    setattr(entry._orders, name, record_and_send)
+    return calls
+
+
 @contextlib.asynccontextmanager
 async def open_branch(
     plan: Callable[[str, int], Plan] = lambda task, run: Plan(0.5),
--- a/savorydale/tests/placement/choice_tests.py
+++ b/savorydale/tests/placement/choice_tests.py
@@ -3,8 +3,8 @@
 from collections import Counter
 
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JobRow, JobStatus
-from savorydale.jobs.tracker import JobProgress
 from savorydale.orders.interface import Resources
 from savorydale.orders.runs import Run, WorkerLoad
 from savorydale.placement.choice import (
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -30,9 +30,9 @@
     decode_configuration,
     decode_worker,
 )
-from savorydale.platform.frontend import decode_job_request
 from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
 from savorydale.platform.store import PlatformStore
+from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
 from savorydale.storage.rows import (
     Committed,
--- a/savorydale/tests/platform/fuzz_tests.py
+++ b/savorydale/tests/platform/fuzz_tests.py
@@ -37,9 +37,9 @@
 from savorydale.placement.advice import StepName
 from savorydale.platform.advice import PlatformPolicyService
 from savorydale.platform.discovery import decode_configuration, decode_worker
-from savorydale.platform.frontend import decode_job_request
 from savorydale.platform.http import HttpReply
 from savorydale.platform.store import PlatformStore
+from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
 from savorydale.storage.rows import RowCondition, RowKey, RowTransaction
 
--- a/savorydale/tests/queueing/order_tests.py
+++ b/savorydale/tests/queueing/order_tests.py
@@ -1,8 +1,8 @@
 """Steps are ranked by priority, then by the deadline that they can still meet."""
 
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JobRow, JobStatus
-from savorydale.jobs.tracker import JobProgress
 from savorydale.queueing.order import rank_replicas, rank_step
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 2.0, 1000.0)
--- a/savorydale/tests/queueing/overload_simulation.py
+++ b/savorydale/tests/queueing/overload_simulation.py
@@ -11,8 +11,9 @@
 from typing import Any, NamedTuple
 
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.progress import JobProgress, StepProgress, Task
 from savorydale.jobs.rows import JobRow, JobStatus
-from savorydale.jobs.tracker import JobProgress, JobTracker, StepProgress, Task
+from savorydale.jobs.tracker import JobTracker
 from savorydale.queueing.order import (
     CUTOFF_OBJECTIVES,
     objective_seconds,
