Connect a new lease holder to a few workers at a time

Cause: a new holder sent the first renewal to every worker at once. On a fleet of 1,000 the event loop needs longer than the 0.5 s allowed for a connection to set all of them up, so they time out together and are tried again together. Change: at most 64 first renewals are open at a time, shared by all links.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -22,6 +22,7 @@
     Refused,
     Renewed,
     RenewOrder,
+    RenewOutcome,
     StartOrder,
     Unanswered,
     WorkerInfo,
@@ -66,7 +67,9 @@
 class WorkerLink:
     """Sends orders to one worker and tracks its runs.
 
-    No start order is sent unless ``may_start()`` is true at that moment.
+    No start order is sent unless ``may_start()`` is true at that moment. All links
+    share ``first_contact_slots``: a new lease holder connects to a few workers at a
+    time, or the connections to a large fleet would all time out.
 
     ``last_contact_at`` is on the loop's clock. Ended runs up to ``processed_number``
     were passed to the listener; those up to ``acknowledged_number`` are durable.
@@ -81,6 +84,7 @@
         lease_max_ms: float,
         counters: Counters,
         may_start: Callable[[], bool] = lambda: True,
+        first_contact_slots: asyncio.Semaphore | None = None,
     ):
         self.info = info
         self.load = WorkerLoad(info.capacity)
@@ -98,6 +102,7 @@
         self._lease_clock = LeaseClock(lease_max_ms)
         self._counters = counters
         self._may_start = may_start
+        self._first_contact_slots = first_contact_slots or asyncio.Semaphore()
         self._info_updated_at = asyncio.get_running_loop().time()
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -231,7 +236,7 @@
             self._renew_timeout_seconds,
         )
         self._polls_immediately = True
-        outcome = await self._orders.renew(self._target(token), order)
+        outcome = await self._send_renewal(token, order)
         match outcome:
             case Renewed():
                 self._polls_immediately = False
@@ -256,6 +261,12 @@
         self._drop_lapsed_runs(loop.time())
         await asyncio.sleep(RENEW_RETRY_SECONDS)
 
+    async def _send_renewal(self, token: int, order: RenewOrder) -> RenewOutcome:
+        if self.last_contact_at is not None:
+            return await self._orders.renew(self._target(token), order)
+        async with self._first_contact_slots:
+            return await self._orders.renew(self._target(token), order)
+
     def _adapt_renew_timeout(self, response_seconds: float) -> None:
         """Allow more time for the next response than the last one took."""
         seconds = RENEW_TIMEOUT_RATIO * response_seconds
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -45,6 +45,7 @@
 PLANNING_PAUSE_RATIO = 2.0  # so that planning takes at most a third of the time
 FEED_WAIT_SECONDS = 1.0
 TICK_SECONDS = 0.1
+MAX_FIRST_CONTACTS = 64  # workers that are connected to at the same time
 MILLISECONDS_PER_SECOND = 1000
 NO_CAPACITY = Resources(0, 0, 0)
 
@@ -101,6 +102,7 @@
             self._store_now_ms,
             read_configuration,
         )
+        self._first_contact_slots = asyncio.Semaphore(MAX_FIRST_CONTACTS)
         self._info_by_worker: dict[str, WorkerInfo] = {}
         self._wake = asyncio.Event()
         self._store_clock_offset_ms = 0.0
@@ -215,6 +217,7 @@
             self._timing.lease_max_ms,
             self._counters,
             self._lease.is_current,
+            self._first_contact_slots,
         )
         self._state.link_by_worker[info.worker] = link
         self._run_link(link)
