Let tests and the process soak see errors that the program contains

Cause: unexpected errors, those of the program's own invariants among them, are contained since this sitting, so that a test on virtual time would pass over them. Change: open_branch fails if an error with a traceback was logged, unless the test expects it; the process soak counts such log lines as violations.

--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -7,8 +7,9 @@
 import contextlib
 import dataclasses
 import json
+import logging
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 
 from savorydale.config.vm import parse_vm_config
@@ -290,6 +291,35 @@
     return calls
 
 
+class TracebackHandler(logging.Handler):
+    """Collects the log records that have a traceback.
+
+    The program contains unexpected errors, also those of its own invariants, so that a
+    test would not see them otherwise.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.errors: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep the message and the error."""
+        if record.exc_info and record.exc_info[1] is not None:
+            self.errors.append(f"{record.getMessage()}: {record.exc_info[1]!r}")
+
+
+@contextlib.contextmanager
+def collected_tracebacks() -> Iterator[list[str]]:
+    """Collect all tracebacks that the package logs inside the block."""
+    handler = TracebackHandler()
+    logger = logging.getLogger("savorydale")
+    logger.addHandler(handler)
+    try:
+        yield handler.errors
+    finally:
+        logger.removeHandler(handler)
+
+
 @contextlib.asynccontextmanager
 async def open_branch(
     plan: Callable[[str, int], Plan] = lambda task, run: Plan(0.5),
@@ -299,8 +329,32 @@
     asserts_no_violations: bool = True,
     attempts: int = 2,
     processor_counts: tuple[float, ...] = (),
+    expects_errors: bool = False,
+) -> AsyncIterator[Branch]:
+    """Start a branch; on exit, assert that no invariant was violated.
+
+    Neither may an unexpected error have been logged, unless ``expects_errors``.
+    """
+    with collected_tracebacks() as errors:
+        async with _running_branch(
+            plan, entries, workers, seed, attempts, processor_counts
+        ) as branch:
+            yield branch
+    if asserts_no_violations:
+        assert branch.checker.violations == []
+    if not expects_errors:
+        assert errors == []
+
+
+@contextlib.asynccontextmanager
+async def _running_branch(
+    plan: Callable[[str, int], Plan],
+    entries: int,
+    workers: int,
+    seed: int,
+    attempts: int,
+    processor_counts: tuple[float, ...],
 ) -> AsyncIterator[Branch]:
-    """Start a branch; on exit, assert that no invariant was violated."""
     branch = Branch(plan, seed)
     branch.processor_counts = processor_counts
     branch.configure(attempts=attempts)
@@ -319,5 +373,3 @@
         for worker in branch.worker_by_name.values():
             worker.close()
         branch.close()
-    if asserts_no_violations:
-        assert branch.checker.violations == []
--- a/savorydale/tests/poison_tests.py
+++ b/savorydale/tests/poison_tests.py
@@ -138,7 +138,7 @@
 @pytest.mark.parametrize("value", [b"{", b"[[1]]", json.dumps([None, "x", 0]).encode()])
 @on_virtual_time
 async def test_unreadable_lease_row_ends_no_process(value):
-    async with open_branch() as branch:
+    async with open_branch(expects_errors=True) as branch:
         holder = branch.scheduling_entry()
         await branch.kill_entry(holder)
         stored = branch.store.value("scheduler", "lease")
@@ -178,7 +178,7 @@
 
 @on_virtual_time
 async def test_unexpected_error_of_one_worker_ends_no_term():
-    async with open_branch() as branch:
+    async with open_branch(expects_errors=True) as branch:
         for entry in branch.entry_by_name.values():
             fail_for_worker(entry, "w0")
         await branch.submit("e0", GOOD_JOB, STEP._replace(task_count=60))
@@ -201,7 +201,7 @@
 
 @on_virtual_time
 async def test_unexpected_error_in_the_scheduler_ends_no_process():
-    async with open_branch() as branch:
+    async with open_branch(expects_errors=True) as branch:
         holder = branch.scheduling_entry()
         scheduler_failures = []
         entry = branch.entry_by_name[holder]
--- a/savorydale/tests/process_soak.py
+++ b/savorydale/tests/process_soak.py
@@ -521,6 +521,7 @@
                     f"{entry.process.name} exited unexpectedly with {code}"
                 )
                 await entry.process.start()
+            self.checker.violations += entry.process.logged_tracebacks()
         pending_jobs = dict.fromkeys(sorted(self.accepted_at_by_job))
         pending_jobs.pop(SERVICE_JOB, None)
 
--- a/standins/entry_process.py
+++ b/standins/entry_process.py
@@ -88,6 +88,11 @@
         self.subprocess.send_signal(stop_signal)
         await self.subprocess.wait()
 
+    def logged_tracebacks(self) -> list[str]:
+        """Return the log lines with a traceback, shortened."""
+        text = self._log_path.read_text(errors="replace")
+        return [line[:500] for line in text.splitlines() if '"exc_info": "' in line]
+
     def handles(self, signal_number: signal.Signals) -> bool:
         """Return whether the process has installed a handler for a signal."""
         if self.subprocess is None or self.subprocess.returncode is not None:
