Keep the row of a service's fitted model within the store's limit

Cause: a fit has a number for each pair of images, so its row grows with their square; beyond some 60 images it exceeds the 65,536 bytes that the store takes. The store refuses the transaction, the holder tries it again for good, loses its lease, and each next holder does the same as soon as it has learned as many images. Change: the images with the least evidence are left out until the row fits. The stand-in refuses rows over the limit, as the platform does. Seen failing before: test_model_of_many_images_does_not_stop_the_commits (150 images, 730,723 bytes: the next job is not run within 10 s). After: it passes.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -250,6 +250,7 @@
                 timing["early_ms"],
                 timing["status_retention_s"],
                 self._config["jobs"]["max_waiting_occurrences"],
+                self._config["store"]["row_bytes"],
             ),
             self._counters,
             self.read_configuration,
--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -19,7 +19,7 @@
 
 from savorydale.exceptions import RowFormatError
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
-from savorydale.placement.interference import TailFit
+from savorydale.placement.interference import INTERCEPT, TailFit
 from savorydale.storage.rows import RowKey
 from savorydale.utils.json_values import (
     load_json,
@@ -39,6 +39,7 @@
 SCHEDULER_TABLE = "scheduler"
 CANCEL_SUFFIX = ".cancel"
 SIGNIFICANT_DIGITS = 6
+KEPT_IMAGES_RATIO = 0.7  # of the images, while a fit is too large for its row
 WAITING_TASK = 0  # in a step's row: a task that has never run
 DONE_TASK = 1  # in a step's row; its runs no longer matter
 LEASE_KEY = RowKey(SCHEDULER_TABLE, "lease")
@@ -260,16 +261,31 @@
     return RowKey(TAILS_TABLE, service_image)
 
 
-def encode_tail_fit(fit: TailFit) -> bytes:
-    """Encode the fitted model of a service image."""
+def encode_tail_fit(fit: TailFit, max_bytes: int) -> bytes:
+    """Encode the fitted model of a service image in at most ``max_bytes``.
+
+    The size grows with the square of the number of images. Those with the least
+    evidence are left out; they are learned again after a takeover.
+    """
+    names = sorted(fit.products, key=fit.evidence, reverse=True)
+    names.sort(key=lambda name: name != INTERCEPT)
+    while True:
+        value = _encode_fit_of(fit, set(names))
+        if len(value) <= max_bytes or not names:
+            return value
+        names = names[: int(len(names) * KEPT_IMAGES_RATIO)]
+
+
+def _encode_fit_of(fit: TailFit, names: set[str]) -> bytes:
     moments = [
         [first, second, float(f"{value:.{SIGNIFICANT_DIGITS}g}")]
         for (first, second), value in fit.moments.items()
-        if first <= second
+        if first <= second and first in names and second in names
     ]
     products = {
         name: float(f"{value:.{SIGNIFICANT_DIGITS}g}")
         for name, value in fit.products.items()
+        if name in names
     }
     return _dump([moments, products])
 
--- a/savorydale/scheduler/housekeeping.py
+++ b/savorydale/scheduler/housekeeping.py
@@ -29,11 +29,13 @@
         self,
         state: SchedulerState,
         status_retention_s: float,
+        max_row_bytes: int,
         read_store_now_ms: Callable[[], float],
         read_configuration: Callable[[], Configuration | None],
     ):
         self._state = state
         self._status_retention_s = status_retention_s
+        self._max_row_bytes = max_row_bytes
         self._store_now_ms = read_store_now_ms
         self._read_configuration = read_configuration
         self._known_queues: set[str] = set()
@@ -83,7 +85,7 @@
     def _write_tail_fits(self) -> None:
         for image, fit in self._state.colocation.model.take_changed().items():
             key = tail_key(image)
-            self._state.write(key, encode_tail_fit(fit))
+            self._state.write(key, encode_tail_fit(fit, self._max_row_bytes))
 
     def _update_known_queues(self) -> set[str]:
         self._known_queues.update(
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -64,6 +64,7 @@
     early_ms: float
     status_retention_s: float
     max_waiting_occurrences: int
+    max_row_bytes: int
 
 
 class JobScheduler:
@@ -99,6 +100,7 @@
         self._housekeeping = Housekeeping(
             self._state,
             timing.status_retention_s,
+            timing.max_row_bytes,
             self._store_now_ms,
             read_configuration,
         )
--- a/savorydale/tests/jobs/rows_tests.py
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -27,11 +27,14 @@
     encode_summary,
     encode_tail_fit,
 )
-from savorydale.placement.interference import TailFit
+from savorydale.placement.interference import INTERCEPT, TailFit
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 1.5, 250.0, True)
 
 
+MAX_ROW_BYTES = 65_536
+
+
 def test_job_round_trip():
     steps = (
         StepSpec(3, 100, 200, estimate_ms=900),
@@ -100,7 +103,25 @@
         fit.observe({"heavy": share}, 2.0 + 8.0 * share)
     for _ in range(50):
         fit.fit()
-    restored = decode_tail_fit(encode_tail_fit(fit))
+    restored = decode_tail_fit(encode_tail_fit(fit, MAX_ROW_BYTES))
     for _ in range(50):
         restored.fit()
     assert abs(restored.coefficients["heavy"] - fit.coefficients["heavy"]) < 0.01
+
+
+def test_fit_of_many_images_keeps_the_best_known_ones_within_a_row():
+    fit = TailFit()
+    images = [f"image-with-a-long-name-{number:03}" for number in range(200)]
+    fit.observe({image: 1 / (number + 1) for number, image in enumerate(images)}, 2.0)
+    encoded = encode_tail_fit(fit, MAX_ROW_BYTES)
+    restored = decode_tail_fit(encoded)
+    assert 0.3 * MAX_ROW_BYTES < len(encoded) <= MAX_ROW_BYTES
+    assert INTERCEPT in restored.products
+    assert images[0] in restored.products
+    assert images[-1] not in restored.products
+
+
+def test_fit_that_cannot_be_stored_is_empty():
+    fit = TailFit()
+    fit.observe({"x" * 1000: 0.5}, 2.0)
+    assert decode_tail_fit(encode_tail_fit(fit, 10)).products == {}
--- a/savorydale/tests/poison_tests.py
+++ b/savorydale/tests/poison_tests.py
@@ -19,6 +19,7 @@
     encode_state,
     encode_step,
 )
+from savorydale.placement.interference import InterferenceModel
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
 from standins.task_worker import Plan
@@ -237,3 +238,25 @@
         branch.start_entry("e0")
         await branch.wait_for_status("e0", GOOD_JOB, status, 8)
         assert TaskId(GOOD_JOB, 0, 0, 0) not in branch.checker.starts
+
+
+def test_model_of_many_images_does_not_stop_the_commits(monkeypatch):
+    # The store refuses a row that is too large, and the commit would be tried for good.
+    @on_virtual_time
+    async def run():
+        async with open_branch(entries=1) as branch:
+            models[-1].observe("service", shares, tail_ms=9.0)
+            await asyncio.sleep(5)
+            await branch.submit("e0", GOOD_JOB, STEP)
+            await branch.wait_for_status("e0", GOOD_JOB, JobStatus.COMPLETED, 10)
+
+    models = []
+    shares = {f"image-with-a-long-name-{number}": 0.1 for number in range(150)}
+    make = InterferenceModel.__init__
+
+    def make_and_keep(model):
+        make(model)
+        models.append(model)
+
+    monkeypatch.setattr(InterferenceModel, "__init__", make_and_keep)
+    run()
--- a/savorydale/tests/scheduler/term_tests.py
+++ b/savorydale/tests/scheduler/term_tests.py
@@ -15,7 +15,7 @@
 @on_virtual_time
 async def test_worker_may_register_while_the_term_ends():
     lease = SchedulerLease(None, EntryIdentity("e1", "1"), 1, 1, 0.0)
-    timing = SchedulerTiming(6000.0, 250.0, 120.0, 100)
+    timing = SchedulerTiming(6000.0, 250.0, 120.0, 100, 65_536)
     scheduler = JobScheduler(None, None, lease, timing, Counters(), lambda: None)
     async with asyncio.TaskGroup() as group:
         scheduler._task_group = group
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -8,6 +8,7 @@
 
 MAX_TRANSACTION_ROWS = 100
 PAGE_ROWS = 500
+MAX_VALUE_CHARACTERS = 87_384  # 65,536 bytes in base64
 MAX_QUEUEING_SECONDS = 1.0  # longer queueing is refused with status 429
 CLOCK_RESOLUTION_SECONDS = 0.001
 PROTECTED_TABLES = ("op", "servers")
@@ -94,6 +95,8 @@
         removals = body.get("remove") or []
         if len(conditions) + len(sets) + len(removals) > MAX_TRANSACTION_ROWS:
             return Reply(400, {"error": "too many entries"})
+        if any(len(row["value"]) > MAX_VALUE_CHARACTERS for row in sets):
+            return Reply(400, {"error": "a value is too large"})
         if any(row["table"] in PROTECTED_TABLES for row in [*sets, *removals]):
             return Reply(403, {"error": "not the system's table"})
         self.transactions += 1
