Call a job's events its history; skip clock lines that hold no number

A log line whose store time is text ended `explain` and `report` with an error (the added line in the test fails without the change); it is skipped now. No part of the servers changed.

--- a/savorydale/logs/reading.py
+++ b/savorydale/logs/reading.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, TextIO
 
 from savorydale.exceptions import RowFormatError
-from savorydale.utils.json_values import JsonObject, load_json_object, to_float
+from savorydale.utils.json_values import JsonObject, load_json_object
 
 CLOCK_EVENT = "clock compared"
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S.%f"
@@ -52,8 +52,9 @@
     def __init__(self, lines: Iterable[LogLine]):
         self._offsets_by_vm: dict[str, list[tuple[int, float]]] = {}
         for number, line in enumerate(lines):
-            if line.event == CLOCK_EVENT and "store_ms" in line.fields:
-                offset = to_float(line.fields["store_ms"]) - line.wall_ms
+            store_ms = line.fields.get("store_ms")
+            if line.event == CLOCK_EVENT and isinstance(store_ms, int | float):
+                offset = store_ms - line.wall_ms
                 self._offsets_by_vm.setdefault(line.vm, []).append((number, offset))
 
     def to_store_ms(self, number: int, line: LogLine) -> float:
--- a/savorydale/logs/report.py
+++ b/savorydale/logs/report.py
@@ -60,7 +60,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class JobStory:
+class JobHistory:
     """What the logs say of one job; all times are on the store's clock.
 
     ``ended_at_ms_by_task`` holds when each task was done.
@@ -153,7 +153,7 @@
 def build_report(lines: list[LogLine]) -> dict[str, QueueReport]:
     """Return a report for each queue."""
     clock = StoreClock(lines)
-    story_by_job: dict[str, JobStory] = collections.defaultdict(JobStory)
+    history_by_job: dict[str, JobHistory] = collections.defaultdict(JobHistory)
     takeovers_ms: list[float] = []
     timed_lines = (
         (clock.to_store_ms(number, line), line)
@@ -164,12 +164,14 @@
         if line.event == "lease acquired":
             takeovers_ms.append(store_ms)
             continue
-        _apply(story_by_job[_job_of(line)], line, store_ms)
+        _apply(history_by_job[_job_of(line)], line, store_ms)
     report_by_queue: dict[str, QueueReport] = collections.defaultdict(QueueReport)
-    for story in story_by_job.values():
-        if story.has_service:
+    for history in history_by_job.values():
+        if history.has_service:
             continue
-        report_by_queue[story.queue].add(story.outcome(), story.cause(takeovers_ms))
+        report_by_queue[history.queue].add(
+            history.outcome(), history.cause(takeovers_ms)
+        )
     return dict(report_by_queue)
 
 
@@ -178,43 +180,45 @@
     return str(line.fields.get("job") or task.partition(".")[0])
 
 
-def _apply(story: JobStory, line: LogLine, store_ms: float) -> None:
+def _apply(history: JobHistory, line: LogLine, store_ms: float) -> None:
     fields = line.fields
     match line.event:
         case "job submitted":
-            story.queue = str(fields.get("queue", story.queue))
-            if story.submitted_ms is None:
-                story.submitted_ms = store_ms
+            history.queue = str(fields.get("queue", history.queue))
+            if history.submitted_ms is None:
+                history.submitted_ms = store_ms
             if "JobAccepted" in str(fields.get("outcome")):
-                story.accepted_ms = story.accepted_ms or store_ms
+                history.accepted_ms = history.accepted_ms or store_ms
         case "job taken in":
-            story.queue = str(fields.get("queue", story.queue))
-            story.accepted_ms = story.accepted_ms or store_ms
-            story.has_service = "service" in str(fields.get("steps"))
+            history.queue = str(fields.get("queue", history.queue))
+            history.accepted_ms = history.accepted_ms or store_ms
+            history.has_service = "service" in str(fields.get("steps"))
         case "run started":
-            story.first_start_ms = story.first_start_ms or store_ms
+            history.first_start_ms = history.first_start_ms or store_ms
         case "run ended":
-            _apply_end(story, fields.get("task"), fields.get("reason"), store_ms)
+            _apply_end(history, fields.get("task"), fields.get("reason"), store_ms)
         case "run lost":
-            story.lost_runs += 1
+            history.lost_runs += 1
         case "run is moved":
-            story.moved_runs += 1
+            history.moved_runs += 1
         case "job cancel requested":
-            story.is_cancelled = True
+            history.is_cancelled = True
         case "job ended":
-            story.ended_ms = store_ms
-            story.status = str(fields.get("status", ""))
-            story.objective_seconds = _number(fields.get("objective"))
+            history.ended_ms = store_ms
+            history.status = str(fields.get("status", ""))
+            history.objective_seconds = _number(fields.get("objective"))
         case "job is set aside":
-            story.ended_ms = store_ms
-            story.status = "failed"
+            history.ended_ms = store_ms
+            history.status = "failed"
 
 
-def _apply_end(story: JobStory, task: object, reason: object, store_ms: float) -> None:
+def _apply_end(
+    history: JobHistory, task: object, reason: object, store_ms: float
+) -> None:
     if reason == "failed":
-        story.failed_runs += 1
+        history.failed_runs += 1
     if reason == "done":
-        story.ended_at_ms_by_task[str(task)] = store_ms
+        history.ended_at_ms_by_task[str(task)] = store_ms
 
 
 def _number(value: object) -> float:
--- a/savorydale/tests/logs/report_tests.py
+++ b/savorydale/tests/logs/report_tests.py
@@ -107,6 +107,7 @@
     log.accept()
     log.lines += [log.lines[-1][:40], "{", '{"time": 7}', "[" * 200_000, "text"]
     log.add(2.0, "an event of a later version", job=JOB)
+    log.add(2.5, "clock compared", store_ms="soon")
     assert log.counts() == ([Outcome.UNFINISHED], [Cause.NOT_STARTED])
 
 
