--- a/savorydale/tests/invariant_checker.py
+++ b/savorydale/tests/invariant_checker.py
@@ -76,6 +76,11 @@
         if self._worker_by_task.get(task) == worker:
             del self._worker_by_task[task]
 
+    @property
+    def worker_by_task(self) -> dict[str, str]:
+        """Return the worker of each running task."""
+        return self._worker_by_task
+
     def running_task_count(self, job: str) -> int:
         """Return how many tasks of a job are running."""
         return sum(task.startswith(job) for task in self._worker_by_task)
--- /dev/null
+++ b/savorydale/tests/service_recovery_tests.py
@@ -0,0 +1,370 @@
+"""Tasks of services are back in time after the lease holder and workers were disturbed.
+
+The bound is that of `service_watch`. Guarded failures: nobody schedules for long, the
+end of a worker's lease is noticed late, and a task that was requeued is not placed.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from savorydale.jobs.model import StepSpec
+from savorydale.orders.interface import Unanswered
+from savorydale.tests.branch import LEASE_MAX_MS, STORE_ADDRESS, open_branch
+from savorydale.tests.frozen_entries import make_freezable, slow_down
+from savorydale.tests.harness import on_virtual_time
+from savorydale.tests.service_watch import (
+    MAX_AWAY_SECONDS,
+    Disturbances,
+    ServiceWatch,
+)
+from standins.task_worker import Plan
+
+JOB = "00000000000000f1"
+SERVICE = StepSpec(6, 500, 100, long_running=True)
+LEASE_SECONDS = LEASE_MAX_MS / 1000
+STORE_GRACE_SECONDS = 2.0  # registrations are back this long after the store
+SLOW_STORE_SECONDS = 0.24  # 60 times the usual latency
+EQUAL_PAIR = (1.0, 1.0)
+EQUAL_EIGHT = (1.0,) * 8
+GROWING_CHAIN = (0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
+FLEETS = (EQUAL_PAIR, EQUAL_EIGHT, GROWING_CHAIN)
+FLEET_NAMES = ("pair", "eight", "chain")
+SETTLE_SECONDS = MAX_AWAY_SECONDS + 3.0
+
+
+def never_ending(task, run):
+    return Plan(None)
+
+
+class Recovery:
+    """A branch with one service, whose absences are watched."""
+
+    def __init__(self, branch, gate_by_entry):
+        self.branch = branch
+        self.gate_by_entry = gate_by_entry
+        self.disturbances = Disturbances()
+        self.watch = ServiceWatch(branch, self.disturbances)
+
+    @property
+    def holder(self):
+        return self.branch.scheduling_entry()
+
+    @property
+    def entries(self):
+        return list(self.branch.entry_by_name)
+
+    def cut_workers(self, entries, workers, is_cut=True):
+        for entry in entries:
+            for worker in workers:
+                path = self.branch.faults_between(entry, f"{worker}:80")
+                path.is_partitioned = is_cut
+
+    def set_store_faults(self, entries, **values):
+        for entry in entries:
+            path = self.branch.faults_between(entry, STORE_ADDRESS)
+            for name, value in values.items():
+                setattr(path, name, value)
+
+
+@contextlib.asynccontextmanager
+async def recovering(processors=EQUAL_PAIR, workers=4, step=SERVICE, seed=1):
+    """Start a service, let the test disturb the branch, then check the bound."""
+    async with open_branch(
+        never_ending,
+        entries=len(processors),
+        workers=workers,
+        seed=seed,
+        processor_counts=processors,
+    ) as branch:
+        for name in list(branch.entry_by_name):  # as entries that can be frozen
+            await branch.kill_entry(name)
+        gate_by_entry = make_freezable(branch)
+        for number in range(len(processors)):
+            branch.start_entry(f"e{number}")
+        recovery = Recovery(branch, gate_by_entry)
+        await asyncio.sleep(6.0)
+        await branch.submit("e0", JOB, step)
+        await branch.wait_until(
+            lambda: branch.checker.running_task_count(JOB) == step.task_count, 5
+        )
+        await asyncio.sleep(1.0)
+        recovery.watch.watch(JOB, step)
+        watching = asyncio.create_task(recovery.watch.run())
+        yield recovery
+        await asyncio.sleep(SETTLE_SECONDS)
+        watching.cancel()
+        print("absences:", sorted(recovery.watch.absences, reverse=True)[:8])
+        assert branch.checker.violations == []
+        assert recovery.watch.violations == []
+        assert branch.checker.running_task_count(JOB) == step.task_count
+
+
+# Nobody schedules
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@pytest.mark.parametrize("seconds", [1.0, 7.0])
+@on_virtual_time
+async def test_tasks_are_back_after_holders_were_killed_in_a_row(processors, seconds):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            for _ in range(len(processors) - 1):
+                holder = recovery.holder
+                await recovery.branch.kill_entry(holder)
+                await asyncio.sleep(seconds)
+                recovery.branch.start_entry(holder)
+                await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@pytest.mark.parametrize("seconds", [1.9, 12.0])
+@on_virtual_time
+async def test_tasks_are_back_after_the_holder_was_frozen(processors, seconds):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            gate = recovery.gate_by_entry[recovery.holder]
+            gate.freeze()
+            await asyncio.sleep(seconds)
+            gate.thaw()
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@on_virtual_time
+async def test_tasks_are_back_after_all_entries_were_frozen(processors):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            for gate in recovery.gate_by_entry.values():
+                gate.freeze()
+            await asyncio.sleep(8.0)
+            for gate in recovery.gate_by_entry.values():
+                gate.thaw()
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@on_virtual_time
+async def test_tasks_are_back_after_the_holder_was_cut_off_from_the_store(processors):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            holder = recovery.holder
+            recovery.set_store_faults([holder], is_partitioned=True)
+            await asyncio.sleep(10.0)
+            recovery.set_store_faults([holder], is_partitioned=False)
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@pytest.mark.parametrize("kills_holder", [False, True])
+@on_virtual_time
+async def test_tasks_are_back_after_workers_were_cut_off(processors, kills_holder):
+    async with recovering(processors) as recovery:
+        workers = list(recovery.branch.worker_by_name)
+        entries = recovery.entries
+        with recovery.disturbances.disturbed():
+            recovery.cut_workers(entries, workers)
+            if kills_holder:
+                await recovery.branch.kill_entry(recovery.holder)
+            await asyncio.sleep(2 * LEASE_SECONDS)
+            recovery.cut_workers(entries, workers, is_cut=False)
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@on_virtual_time
+async def test_tasks_are_back_after_all_entries_were_slow(processors):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            await asyncio.gather(
+                *(
+                    slow_down(gate, 12.0, frozen=0.3, awake=0.05)
+                    for gate in recovery.gate_by_entry.values()
+                )
+            )
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@pytest.mark.parametrize(
+    "faults",
+    [{"lost_response_probability": 0.5}, {"refuses": True}],
+    ids=["lost", "refused"],
+)
+@on_virtual_time
+async def test_tasks_are_back_after_a_takeover_with_store_faults(processors, faults):
+    async with recovering(processors) as recovery:
+        entries = recovery.entries
+        with recovery.disturbances.disturbed():
+            recovery.set_store_faults(entries, **faults)
+            await recovery.branch.kill_entry(recovery.holder)
+            await asyncio.sleep(8.0)
+            recovery.set_store_faults(
+                entries, lost_response_probability=0.0, refuses=False
+            )
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@on_virtual_time
+async def test_tasks_are_back_after_a_takeover_with_a_slow_store(processors):
+    async with recovering(processors) as recovery:
+        with recovery.disturbances.disturbed():
+            recovery.branch.store_latency_seconds = SLOW_STORE_SECONDS
+            await recovery.branch.kill_entry(recovery.holder)
+            await asyncio.sleep(10.0)
+            recovery.branch.store_latency_seconds = 0.004
+
+
+@pytest.mark.parametrize("processors", FLEETS, ids=FLEET_NAMES)
+@on_virtual_time
+async def test_tasks_are_back_after_registrations_were_lost(processors):
+    async with recovering(processors) as recovery:
+        branch = recovery.branch
+        entries = recovery.entries
+        with recovery.disturbances.disturbed():
+            recovery.set_store_faults(entries, is_partitioned=True)
+            for worker in branch.worker_by_name:
+                branch.store.delete("servers", worker)
+            await branch.kill_entry(recovery.holder)
+            await asyncio.sleep(8.0)
+            recovery.set_store_faults(entries, is_partitioned=False)
+            await asyncio.sleep(STORE_GRACE_SECONDS)
+            for worker in branch.worker_by_name:
+                branch.register(worker)
+
+
+@on_virtual_time
+async def test_tasks_are_back_after_a_takeover_on_a_large_fleet():
+    step = SERVICE._replace(task_count=250, max_per_worker=1)
+    async with recovering(EQUAL_PAIR, 260, step) as recovery:
+        branch = recovery.branch
+        with recovery.disturbances.disturbed():
+            for entry in recovery.entries:
+                for worker in branch.worker_by_name:
+                    path = branch.faults_between(entry, f"{worker}:80")
+                    path.reply_delay_seconds = 0.3
+            await branch.kill_entry(recovery.holder)
+            await asyncio.sleep(8.0)
+            for path in branch._faults.values():
+                path.reply_delay_seconds = 0.0
+
+
+async def raise_token_of(recovery, worker):
+    """Let the answer to a start order of a worker be lost, so that its token rises."""
+    orders = recovery.branch.entry_by_name[recovery.holder]._orders
+    start = orders.start
+
+    async def lose_answer(target, order):
+        outcome = await start(target, order)
+        return Unanswered("lost") if target.worker == worker else outcome
+
+    orders.start = lose_answer
+    job = "00000000000000b1"
+    await recovery.branch.submit(recovery.holder, job, SERVICE._replace(task_count=8))
+    await asyncio.sleep(2.0)
+    await recovery.branch.entry_by_name[recovery.holder].job_store.cancel(job, 2.0)
+    await asyncio.sleep(2.0)
+    orders.start = start
+
+
+@on_virtual_time
+async def test_term_goes_on_when_a_worker_left_and_returned():
+    # The worker was not restarted and remembers the fencing token.
+    async with recovering() as recovery:
+        branch = recovery.branch
+        await raise_token_of(recovery, "w0")
+        with recovery.disturbances.disturbed():
+            recovery.cut_workers(recovery.entries, ["w0"])
+            branch.store.delete("servers", "w0")
+            await asyncio.sleep(2 * LEASE_SECONDS)
+            recovery.cut_workers(recovery.entries, ["w0"], is_cut=False)
+            branch.register("w0")
+    assert branch.counters.count("lease.lost") == 0
+
+
+@pytest.mark.parametrize("processors", [(1.0,), EQUAL_PAIR], ids=["one", "two"])
+@on_virtual_time
+async def test_tasks_are_back_after_a_lease_that_could_not_be_released(processors):
+    # Every entry gives up its lease while the store is out, and resumes the same one.
+    async with recovering(processors) as recovery:
+        await raise_token_of(recovery, "w0")
+        gates = list(recovery.gate_by_entry.values())
+        with recovery.disturbances.disturbed():
+            entries = recovery.entries
+            slow = [
+                asyncio.create_task(slow_down(gate, 8.0, frozen=0.3, awake=0.05))
+                for gate in gates
+            ]
+            await asyncio.sleep(3.0)
+            recovery.set_store_faults(entries, is_partitioned=True)
+            await asyncio.gather(*slow)
+            recovery.set_store_faults(entries, is_partitioned=False)
+    assert recovery.branch.counters.count("lease.lost") <= len(processors)
+
+
+# The end of a worker's lease is noticed late
+
+
+@pytest.mark.parametrize(
+    ("is_registered", "delay_seconds"),
+    [(True, 0.0), (True, 2.0), (False, 2.0)],
+    ids=["at_once", "later", "unregistered"],
+)
+@on_virtual_time
+async def test_tasks_of_an_ended_worker_are_back_after_a_takeover(
+    is_registered, delay_seconds
+):
+    async with recovering() as recovery:
+        branch = recovery.branch
+        with recovery.disturbances.disturbed():
+            branch.worker_by_name["w0"].crash(restarts=False)
+            if not is_registered:
+                branch.store.delete("servers", "w0")
+            await asyncio.sleep(delay_seconds)
+            await branch.kill_entry(recovery.holder)
+
+
+@on_virtual_time
+async def test_tasks_of_an_ended_worker_are_back_after_takeovers_in_a_row():
+    async with recovering(EQUAL_EIGHT) as recovery:
+        branch = recovery.branch
+        with recovery.disturbances.disturbed():
+            branch.worker_by_name["w0"].crash(restarts=False)
+            for _ in range(3):
+                holder = recovery.holder
+                await branch.kill_entry(holder)
+                await branch.wait_until(lambda h=holder: recovery.holder != h, 6)
+                await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("seconds", [0.6, 1.0, 2.0])
+@on_virtual_time
+async def test_tasks_are_back_from_a_worker_that_answers_slowly(seconds):
+    async with recovering() as recovery:
+        entries = recovery.entries
+        with recovery.disturbances.disturbed():
+            for entry in entries:
+                path = recovery.branch.faults_between(entry, "w0:80")
+                path.reply_delay_seconds = seconds
+            await recovery.branch.kill_entry(recovery.holder)
+            await asyncio.sleep(2 * LEASE_SECONDS)
+            for entry in entries:
+                path = recovery.branch.faults_between(entry, "w0:80")
+                path.reply_delay_seconds = 0.0
+
+
+# A run is not started twice meanwhile
+
+
+@pytest.mark.parametrize("is_split", [False, True], ids=["near", "split"])
+@on_virtual_time
+async def test_run_that_a_replaced_holder_still_renews_is_not_started_again(is_split):
+    # If split, the holder and one worker are cut off from everything else.
+    async with recovering() as recovery:
+        holder = recovery.holder
+        other = next(name for name in recovery.entries if name != holder)
+        far_workers = ["w1", "w2", "w3"] if is_split else []
+        with recovery.disturbances.disturbed():
+            recovery.set_store_faults([holder], is_partitioned=True)
+            recovery.cut_workers([holder], far_workers)
+            recovery.cut_workers([other], ["w0"])
+            await asyncio.sleep(4 * LEASE_SECONDS)
+            recovery.set_store_faults([holder], is_partitioned=False)
+            recovery.cut_workers([holder], far_workers, is_cut=False)
+            recovery.cut_workers([other], ["w0"], is_cut=False)
