Acquire a lease anew, with the next epoch, to schedule under it again

Cause: an entry whose term ended while the lease row still named it went on with the same epoch, and its links began with the first fencing token of that epoch. A worker that had seen a raised token refused them; the link took this for another holder and ended the term, and so each later one, for ever. Such a worker's runs ended and were never noticed, since each term counts its lease from its own beginning.

Change: only a lease under which nothing was committed keeps its epoch, as after an acquisition whose answer was lost.

The first of election_tests fails without the change.

--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -67,6 +67,9 @@
     incarnation on the holder's VM does not wait. Neither does a VM with at least twice
     the cores of the holder, which takes the lease over at any time, because a small VM
     cannot schedule for a large fleet.
+
+    An entry that has already scheduled under the lease acquires it anew, with the next
+    epoch: workers may have seen newer fencing tokens than those a new term begins with.
     """
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
@@ -80,7 +83,7 @@
             continue
         current = decode_lease(stored.value) if stored and stored.value else None
         version = stored.version if stored else 0
-        if current is not None and current.holder == identity:
+        if current is not None and _is_unused(current, identity):
             return SchedulerLease(
                 store, identity, current.epoch, version, loop.time(), current.sequence
             )
@@ -117,6 +120,14 @@
     return (stored.version if stored else 0) == version
 
 
+def _is_unused(current: LeaseRow, identity: EntryIdentity) -> bool:
+    """Return whether this entry holds the lease and has sent no orders under it.
+
+    A term commits before it sends its first order.
+    """
+    return current.holder == identity and current.sequence == 0
+
+
 def _may_acquire(
     current: LeaseRow | None, identity: EntryIdentity, has_lapsed: bool
 ) -> bool:
