Continue the fencing token of a closed link to a worker that returns

Cause: the link to a worker that left for longer than its lease is closed. When the worker registered again, in the same incarnation, its new link began with the first token of the epoch, and the worker refused it if the token had been raised before; the term ended.

Change: the new link takes over the token of the closed one.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -141,6 +141,13 @@
         wait_seconds = self.renew_wait_ms / MILLISECONDS_PER_SECOND
         return wait_seconds + CONTACT_TIMEOUT_SECONDS
 
+    def continue_tokens_of(self, predecessor: "WorkerLink") -> None:
+        """Take over the fencing token of a closed link to the same worker.
+
+        The worker refuses orders with an older token than it has seen.
+        """
+        self._token = max(self._token, predecessor._token)
+
     # Runs on the worker
 
     def restore(self, run: Run) -> None:
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -189,8 +189,11 @@
 
     def _open_link(self, info: WorkerInfo) -> None:
         link = self._state.link_by_worker.get(info.worker)
-        if link is None or link.is_closed:
+        if link is None:
             link = self._make_link(info)
+        elif link.is_closed:
+            closed_link, link = link, self._make_link(info)
+            link.continue_tokens_of(closed_link)
         if link.info.capacity != info.capacity:
             link.load.capacity = info.capacity
         if link.info.is_draining != info.is_draining:
