--- a/savorydale/tests/service_recovery_tests.py
+++ b/savorydale/tests/service_recovery_tests.py
@@ -9,9 +9,15 @@
 
 import pytest
 
+from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import StepSpec
 from savorydale.orders.interface import Unanswered
-from savorydale.tests.branch import LEASE_MAX_MS, STORE_ADDRESS, open_branch
+from savorydale.tests.branch import (
+    LEASE_MAX_MS,
+    STORE_ADDRESS,
+    STORE_LATENCY_SECONDS,
+    open_branch,
+)
 from savorydale.tests.frozen_entries import make_freezable, slow_down
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.service_watch import (
@@ -298,6 +304,34 @@
     assert recovery.branch.counters.count("lease.lost") <= len(processors)
 
 
+def refuse_reads(entry, table):
+    """Let an entry's reads of one table fail, while it can write."""
+    read_range = entry._store.read_range
+
+    async def read_or_fail(name, *args, **options):
+        if name == table:
+            await asyncio.sleep(STORE_LATENCY_SECONDS)
+            raise StoreUnreachableError("status 503")
+        return await read_range(name, *args, **options)
+
+    entry._store.read_range = read_or_fail
+
+
+@pytest.mark.parametrize("table", ["steps", "servers"])
+@on_virtual_time
+async def test_entry_that_cannot_read_a_table_leaves_the_lease_to_another(table):
+    async with recovering() as recovery:
+        branch = recovery.branch
+        holder = recovery.holder
+        other = next(name for name in recovery.entries if name != holder)
+        refuse_reads(branch.entry_by_name[other], table)
+        with recovery.disturbances.disturbed():
+            await branch.kill_entry(holder)
+            await asyncio.sleep(3.0)
+            branch.start_entry(holder)
+        await asyncio.sleep(2 * LEASE_SECONDS)
+
+
 # The end of a worker's lease is noticed late
 
 
