Give up a lease under which the state cannot be read

Cause: what callers would see: no job is started and running ones end, while one entry holds the lease. An entry whose load failed, because the store refused or delayed its reads, acquired the lease again at once; each attempt renewed the row, so that no other entry took over. Change: it releases the lease and waits, like an entry that is too slow, so another acquires it first.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -225,9 +225,10 @@
                 await self._give_up_lease()
             except* StoreError as group:
                 log.warning(
-                    "jobs could not be loaded",
+                    "lease given up, the state cannot be read",
                     extra={"reason": str(group.exceptions[0])},
                 )
+                await self._give_up_lease()
             except* Exception:
                 log.exception("lease given up after an unexpected error")
                 await self._give_up_lease()
