Test that no start exceeds a worker's changed capacity

Change: the stand-in worker has a capacity that a test can change; the invariant checker checks CPU, memory and accelerators of each start against the worker's own capacity instead of a constant number of millicores. As before, all runs on the worker count; the CPU of backfill, of which the earlier tests have none, does not count.

--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -18,9 +18,12 @@
 from savorydale.job_entry import JobEntry
 from savorydale.jobs.model import JobSpec, StepSpec
 from savorydale.jobs.rows import JobStatus
-from savorydale.orders.interface import WorkerTarget
+from savorydale.orders.interface import Resources, WorkerTarget
 from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
-from savorydale.tests.invariant_checker import InvariantChecker
+from savorydale.tests.invariant_checker import (
+    CAPACITY_GRACE_SECONDS,
+    InvariantChecker,
+)
 from standins.row_store import RowStoreStandin
 from standins.task_worker import Plan, TaskWorkerStandin
 
@@ -154,8 +157,17 @@
         """Write the registration of a worker to the store."""
         worker = self.worker_by_name[name]
         row = worker.registration(f"{name}:80", SERVICE, ["a", "r1"], state)
+        self.checker.record_capacity(name, Resources(*worker.capacity.values()))
         self.store.put("servers", name, row)
 
+    def set_capacity(self, name: str, **capacity: int) -> None:
+        """Change a worker's capacity, and its registration while it is registered."""
+        worker = self.worker_by_name[name]
+        worker.capacity = {**worker.capacity, **capacity}
+        row = self.store.value("servers", name)
+        if row is not None and worker.is_up:
+            self.register(name, json.loads(row)["state"])
+
     def start_entry(self, name: str) -> JobEntry:
         """Start an entry, as a new incarnation."""
         config = parse_vm_config(
@@ -330,6 +342,7 @@
     attempts: int = 2,
     processor_counts: tuple[float, ...] = (),
     expects_errors: bool = False,
+    capacity_grace_seconds: float = CAPACITY_GRACE_SECONDS,
 ) -> AsyncIterator[Branch]:
     """Start a branch; on exit, assert that no invariant was violated.
 
@@ -339,6 +352,7 @@
         async with _running_branch(
             plan, entries, workers, seed, attempts, processor_counts
         ) as branch:
+            branch.checker.capacity_grace_seconds = capacity_grace_seconds
             yield branch
     if asserts_no_violations:
         assert branch.checker.violations == []
--- a/savorydale/tests/placement/colocation_tests.py
+++ b/savorydale/tests/placement/colocation_tests.py
@@ -104,3 +104,18 @@
     moved = {move.run.task for move in colocation.choose_moves([link, other], now)}
     assert moved == {fresh.task, resumable.task}
     assert advanced.task not in moved
+
+
+@on_virtual_time
+async def test_speed_of_backfill_follows_a_changed_capacity_at_once():
+    colocation = Colocation()
+    link = FakeLink("w0")
+    link.add(SERVICE, usage=5.0)
+    observe_pair(colocation, tail_ms=14.0)
+    link.add(BACKFILL)
+    speed = colocation.speed_of(link, BACKFILL)
+    link.load.capacity = Resources(8_000, 128_000, 0)
+    speed_after_shrinking = colocation.speed_of(link, BACKFILL)
+    colocation.refresh([link], {})
+    assert speed_after_shrinking == colocation.speed_of(link, BACKFILL)
+    assert speed_after_shrinking < speed
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -13,6 +13,7 @@
 STOP_DELAY_SECONDS = 0.1
 MAX_ENDS_PER_REPLY = 500
 STALL_FACTOR = 10_000.0  # a stalled run would end long after the test
+INITIAL_CAPACITY = {"cpu": 8000, "memMb": 16000, "gpu": 0}
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +58,7 @@
         self.on_start = on_start
         self.on_end = on_end
         self.clock_rate = clock_rate
+        self.capacity = dict(INITIAL_CAPACITY)
         self.incarnation = 0
         self.is_up = True
         self.is_stalled = False
@@ -102,7 +104,7 @@
                 "slots": 8,
                 "state": state,
                 "coldRemainingMs": 0,
-                "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
+                "capacity": self.capacity,
                 "labels": labels,
                 "clockMs": self.clock_ms,
                 "born": self.incarnation,
