Change the capacity of workers in the branch soak

Change: beside the other faults, workers shrink about every 5 s, for 1 to 15 s. A random stream of its own keeps the other faults of each seed as they were.

--- a/savorydale/tests/branch_soak.py
+++ b/savorydale/tests/branch_soak.py
@@ -18,6 +18,7 @@
 from savorydale.tests.branch import STORE_ADDRESS, Branch, open_branch
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.random_jobs import make_plan, random_steps
+from standins.task_worker import INITIAL_CAPACITY
 
 ENTRY_COUNT = 3
 WORKER_COUNT = 4
@@ -25,6 +26,7 @@
 SETTLE_SECONDS = 60.0
 SUBMIT_INTERVAL_SECONDS = 0.6
 CANCEL_PROBABILITY = 0.1
+SHRINK_INTERVAL_SECONDS = 5.0
 
 
 class SoakResult(NamedTuple):
@@ -42,6 +44,7 @@
     def __init__(self, branch: Branch, seed: int):
         self.branch = branch
         self.rng = random.Random(seed)
+        self.capacity_rng = random.Random(f"{seed}/capacity")
         self.faults = 0
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
@@ -55,6 +58,7 @@
         async with asyncio.TaskGroup() as group:
             self._group = group
             submissions = group.create_task(self._submit_until(end_at))
+            group.create_task(self._change_capacities_until(end_at))
             while loop.time() < end_at:
                 await asyncio.sleep(self.rng.expovariate(1 / 2.5))
                 group.create_task(self._inject_fault())
@@ -202,6 +206,24 @@
         await asyncio.sleep(self._random_seconds())
         self.branch.register(name)
 
+    async def _change_capacities_until(self, end_at: float) -> None:
+        """Shrink workers from time to time, whatever the other faults are."""
+        loop = asyncio.get_running_loop()
+        assert self._group is not None
+        while loop.time() < end_at:
+            interval = self.capacity_rng.expovariate(1 / SHRINK_INTERVAL_SECONDS)
+            await asyncio.sleep(interval)
+            self.faults += 1
+            self._group.create_task(self._shrink_worker())
+
+    async def _shrink_worker(self) -> None:
+        rng = self.capacity_rng
+        name = f"w{rng.randrange(WORKER_COUNT)}"
+        cpu, memory_mb = rng.choice((500, 2000, 4000)), rng.choice((1000, 4000, 16000))
+        self.branch.set_capacity(name, cpu=cpu, memMb=memory_mb)
+        await asyncio.sleep(rng.uniform(1.0, 15.0))
+        self.branch.set_capacity(name, **INITIAL_CAPACITY)
+
     async def _kill_entry(self) -> None:
         await self._kill_and_restart([self._random_entry()])
 
