Withdraw planned starts that no longer fit a worker that shrank

Cause: a start was sent whatever the worker's capacity was by then. Assignments wait for their commit, and start orders wait two at a time for a slow worker, so starts for the larger capacity went out seconds after the holder knew of the smaller one. Change: when the capacity changes, planned runs whose orders were not sent and that no longer fit are released, the latest first; the other members of a gang are stopped. The release is committed like that of a lost run. Counters start.over_capacity and worker.capacity_changed, event "worker capacity changed". A run has the state RESERVED until its order is sent.

--- a/savorydale/logs/timeline.py
+++ b/savorydale/logs/timeline.py
@@ -17,6 +17,7 @@
     "worker was restarted",
     "worker is quarantined",
     "worker state changed",
+    "worker capacity changed",
 )
 HIDDEN_FIELDS = ("time", "level", "logger", "event", "vm", "job")
 CONTEXT_MARGIN_MS = 3000
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -14,6 +14,7 @@
 class RunState(Enum):
     """Known state of a run on its worker."""
 
+    RESERVED = "reserved"  # its start order was not sent yet
     ASSIGNED = "assigned"  # no response to the start order so far
     UNKNOWN = "unknown"  # the start order may have been executed, or may be later
     ACTIVE = "active"  # the worker has confirmed the run
@@ -34,7 +35,7 @@
     number: int
     spec: StepSpec
     assigned_at: float
-    state: RunState = RunState.ASSIGNED
+    state: RunState = RunState.RESERVED
     resolving_token: int = 0
     confirmed_at: float = 0.0
     stop_requested: bool = False
@@ -47,6 +48,12 @@
     usage: float = 0.0
     last_unstuck_at: float = 0.0
 
+    @property
+    def reserved(self) -> Resources:
+        """Return what the run reserves of its worker's capacity."""
+        cpu_millicores = 0 if self.spec.backfill else self.spec.cpu_millicores
+        return Resources(cpu_millicores, self.spec.memory_mb, self.spec.accelerators)
+
     def record_progress(self, percent: float, now: float) -> None:
         """Record how much of the work is done."""
         if self.first_progress_percent is None:
@@ -102,6 +109,15 @@
         """Return the CPU that batch tasks reserve."""
         return self.cpu_millicores - self.service_millicores
 
+    @property
+    def excess(self) -> Resources:
+        """Return by how much the runs exceed the capacity, which may have shrunk."""
+        return Resources(
+            max(0, self.cpu_millicores - self.capacity.cpu_millicores),
+            max(0, self.memory_mb - self.capacity.memory_mb),
+            max(0, self.accelerators - self.capacity.accelerators),
+        )
+
     def set_speed(self, run: Run, percent: int) -> None:
         """Set the speed of a backfill run and update the CPU that backfill uses."""
         percent_change = max(0, percent) - max(0, run.requested_percent)
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -23,6 +23,7 @@
     Renewed,
     RenewOrder,
     RenewOutcome,
+    Resources,
     StartOrder,
     Unanswered,
     WorkerInfo,
@@ -32,6 +33,7 @@
 from savorydale.orders.lease_clock import LeaseClock
 from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
+from savorydale.orders.withdrawal import choose_withdrawals
 
 RENEW_RETRY_SECONDS = 0.1
 MIN_RENEW_TIMEOUT_SECONDS = 0.5
@@ -121,6 +123,21 @@
         self.info = info
         self._info_updated_at = asyncio.get_running_loop().time()
 
+    def set_capacity(self, capacity: Resources) -> list[Run]:
+        """Update the worker's capacity and return the runs that are withdrawn.
+
+        These are planned runs that no longer fit; their start orders are never sent.
+        """
+        self.load.capacity = capacity
+        planned = [
+            run for run in self.run_by_task.values() if run.state is RunState.RESERVED
+        ]
+        withdrawn = choose_withdrawals(self.load.excess, planned)
+        for run in withdrawn:
+            self._counters.increment("start.over_capacity")
+            self._drop_run(run, "the worker's capacity has shrunk")
+        return withdrawn
+
     def seconds_left(self, now: float) -> float | None:
         """Return the minimum time until a draining worker is removed, if known."""
         if self.info.remaining_ms is None:
@@ -408,6 +425,8 @@
             order = StartOrder(
                 run.task, run.number, payload, lease_end_ms, checkpoint, ticket
             )
+            if run.state is RunState.RESERVED:
+                run.state = RunState.ASSIGNED
             outcome = await self._send_start(token, order)
         if self.run_by_task.get(run.task) is not run:
             return
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -13,7 +13,7 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.model import Configuration
-from savorydale.jobs.progress import JobProgress
+from savorydale.jobs.progress import JobProgress, Task
 from savorydale.jobs.rows import JOBS_TABLE, JobStatus, cancel_key
 from savorydale.jobs.tracker import EndEffect
 from savorydale.orders.interface import (
@@ -192,7 +192,7 @@
         if link is None or link.is_closed:
             link = self._make_link(info)
         if link.info.capacity != info.capacity:
-            link.load.capacity = info.capacity
+            self._change_capacity(link, info.capacity)
         if link.info.is_draining != info.is_draining:
             log.info(
                 "worker state changed",
@@ -200,6 +200,24 @@
             )
         link.update(info)
 
+    def _change_capacity(self, link: WorkerLink, capacity: Resources) -> None:
+        self._counters.increment("worker.capacity_changed")
+        log.info(
+            "worker capacity changed",
+            extra={"worker": link.worker, **capacity._asdict()},
+        )
+        for run in link.set_capacity(capacity):
+            self._stop_gang(run)
+
+    def _stop_gang(self, run: Run) -> None:
+        """Stop the other members of a gang, one of which is not started."""
+        found = self._state.job_tracker.find_task(run.task)
+        if found is None or not run.spec.gang:
+            return
+        step, _ = found
+        for member in step.tasks:
+            self._stop_run(member)
+
     def _restore_link(self, worker: str, runs: list[Run]) -> None:
         info = self._info_by_worker.get(worker)
         if info is None:
@@ -391,10 +409,14 @@
             },
         )
         for task in job.assigned_tasks():
-            link = self._state.link_by_worker.get(task.worker)
-            run = link.run_by_task.get(task.id) if link else None
-            if link is not None and run is not None:
-                link.stop(run)
+            self._stop_run(task)
+
+    def _stop_run(self, task: Task) -> None:
+        """Stop the run of a task, if it has one."""
+        link = self._state.link_by_worker.get(task.worker)
+        run = link.run_by_task.get(task.id) if link else None
+        if link is not None and run is not None:
+            link.stop(run)
 
     # Planning and commits
 
