Give a worker nothing while its registration cannot be read

Cause: a registration that became unreadable left the former one in force, with its capacity; only when the table was read anew did the worker count as not registered. Change: it counts as not registered at once: no new runs, its runs stay.

--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -28,7 +28,11 @@
 
 
 class WorkerRegistry:
-    """Follows the table in which workers register themselves."""
+    """Follows the table in which workers register themselves.
+
+    A worker whose registration cannot be read counts as not registered: it gets no new
+    runs, since its capacity is unknown, and keeps those that it has.
+    """
 
     def __init__(
         self,
@@ -54,6 +58,7 @@
             try:
                 self._info_by_worker[worker] = decode_worker(worker, row.value)
             except RowFormatError as error:
+                self._info_by_worker.pop(worker, None)
                 self._counters.increment("registration.unreadable")
                 log.info(
                     "registration is skipped",
