Compute the capacity for backfill anew when a worker's capacity changes

Cause: the cached capacity for backfill of a worker was valid until its runs changed, so after the worker shrank backfill was placed by shares of its former CPU until the next report. Change: a changed capacity changes the revision of the load.

--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -71,11 +71,12 @@
     the speed that was set for it. ``services_by_image`` counts the services that have
     a latency target, which backfill may slow down. ``backfill_by_image`` is what
     backfill of each image would use at full speed, in millicores. ``revision`` changes
-    whenever a run is added or removed, ``service_revision`` whenever a service is.
+    whenever a run is added or removed or the capacity changes, ``service_revision``
+    whenever a service is added or removed.
     """
 
     def __init__(self, capacity: Resources):
-        self.capacity = capacity
+        self._capacity = capacity
         self.cpu_millicores = 0
         self.service_millicores = 0
         self.backfill_millicores = 0.0
@@ -86,6 +87,17 @@
         self.revision = 0
         self.service_revision = 0
 
+    @property
+    def capacity(self) -> Resources:
+        """Return the worker's total capacity."""
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, capacity: Resources) -> None:
+        """Set the worker's total capacity."""
+        self._capacity = capacity
+        self.revision += 1
+
     def add(self, run: Run, sign: int = 1) -> None:
         """Add the resources of a run; ``sign`` -1 subtracts them."""
         spec = run.spec
