Do not wait for changes after a failed read of a table

Change: the request after a failure returns at once; as the store may be slow, its timeout stays at 1.4 s.

--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -33,6 +33,7 @@
 # operator's and the workers' tables are in the same one.
 PARTITION = ""
 LONG_POLL_MARGIN_SECONDS = 0.4
+MIN_POLL_TIMEOUT_SECONDS = 1.4  # the store may be slow to answer
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -110,7 +111,7 @@
             "after": str(after_version),
             "waitMs": str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
         }
-        timeout = wait_seconds + LONG_POLL_MARGIN_SECONDS
+        timeout = max(MIN_POLL_TIMEOUT_SECONDS, wait_seconds + LONG_POLL_MARGIN_SECONDS)
         body = await self._read("rows-feed", params, timeout)
         return _make_range(_parse_rows(body), body)
 
--- a/savorydale/storage/follow.py
+++ b/savorydale/storage/follow.py
@@ -42,13 +42,15 @@
     """Keep ``listener`` up to date until cancelled.
 
     ``wait_seconds`` limits each wait for changes, and so the time until a dead
-    connection is detected. ``version`` is that of a snapshot which the listener has;
-    ``None`` if it has none.
+    connection is detected. After a failure, the next request does not wait for changes,
+    so that its response shows at once that the table is up to date. ``version`` is that
+    of a snapshot which the listener has; ``None`` if it has none.
     """
     is_reachable = True
     while True:
+        wait = wait_seconds if is_reachable else 0.0
         try:
-            version = await _follow_once(store, table, listener, version, wait_seconds)
+            version = await _follow_once(store, table, listener, version, wait)
         except HistoryLostError:
             log.info("history lost, table is read again", extra={"table": table})
             version = None
