Start nothing while the workers' registrations may be out of date

Cause: when the store serves transactions but not the reads of the registrations, or in the first moments after an outage, runs were assigned and started by capacities that were written long before. Counters planning.registrations_old and start.registrations_old. A link asks for an obstacle to starts instead of a permission, so that the reason of a dropped start names it.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -256,7 +256,11 @@
             self.read_configuration,
             self._policy,
         )
-        registry = WorkerRegistry(scheduler.replace_workers, self._counters)
+        registry = WorkerRegistry(
+            scheduler.replace_workers,
+            self._counters,
+            scheduler.record_registrations,
+        )
         async with asyncio.TaskGroup() as group:
             group.create_task(
                 follow_table(self._store, WORKERS_TABLE, registry, WORKERS_WAIT_SECONDS)
--- a/savorydale/orders/interface.py
+++ b/savorydale/orders/interface.py
@@ -51,6 +51,13 @@
     remaining_ms: int | None
 
 
+class StartObstacle(StrEnum):
+    """Why no start order may be sent now."""
+
+    LEASE_NOT_CURRENT = "lease_not_current"
+    REGISTRATIONS_OLD = "registrations_old"
+
+
 class EndReason(StrEnum):
     """How a run ended."""
 
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -24,6 +24,7 @@
     RenewOrder,
     RenewOutcome,
     Resources,
+    StartObstacle,
     StartOrder,
     Unanswered,
     WorkerInfo,
@@ -69,7 +70,7 @@
 class WorkerLink:
     """Sends orders to one worker and tracks its runs.
 
-    No start order is sent unless ``may_start()`` is true at that moment. All links
+    No start order is sent while ``find_obstacle()`` returns an obstacle. All links
     share ``first_contact_slots``: a new lease holder connects to a few workers at a
     time, or the connections to a large fleet would all time out.
 
@@ -85,7 +86,7 @@
         epoch: int,
         lease_max_ms: float,
         counters: Counters,
-        may_start: Callable[[], bool] = lambda: True,
+        find_obstacle: Callable[[], StartObstacle | None] = lambda: None,
         first_contact_slots: asyncio.Semaphore | None = None,
     ):
         self.info = info
@@ -103,7 +104,7 @@
         self._token = epoch * TOKENS_PER_EPOCH
         self._lease_clock = LeaseClock(lease_max_ms)
         self._counters = counters
-        self._may_start = may_start
+        self._find_obstacle = find_obstacle
         self._first_contact_slots = first_contact_slots or asyncio.Semaphore()
         self._info_updated_at = asyncio.get_running_loop().time()
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
@@ -413,9 +414,10 @@
             if self.run_by_task.get(run.task) is not run or run.stop_requested:
                 self._drop_run(run, "stopped before its start")
                 return
-            if not self._may_start():
-                self._counters.increment("start.lease_not_current")
-                self._drop_run(run, "the scheduler's lease may be lost")
+            obstacle = self._find_obstacle()
+            if obstacle is not None:
+                self._counters.increment(f"start.{obstacle}")
+                self._drop_run(run, f"no start is allowed: {obstacle}")
                 return
             token = self._token
             lease_end_ms = self._next_lease_end_ms()
--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -38,8 +38,10 @@
         self,
         on_change: Callable[[dict[str, WorkerInfo]], None],
         counters: Counters,
+        on_response: Callable[[], None] = lambda: None,
     ):
         self._on_change = on_change
+        self._on_response = on_response
         self._counters = counters
         self._info_by_worker: dict[str, WorkerInfo] = {}
 
@@ -67,7 +69,8 @@
         self._on_change(dict(self._info_by_worker))
 
     def record_response(self, store_ms: int) -> None:
-        """Do nothing; registrations do not expire."""
+        """Report that all changes are known."""
+        self._on_response()
 
 
 class ConfigurationFollower:
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -19,6 +19,7 @@
 from savorydale.orders.interface import (
     EndedRun,
     Resources,
+    StartObstacle,
     WorkerInfo,
     WorkerOrders,
 )
@@ -35,6 +36,7 @@
 from savorydale.scheduler.load_report import LoadReport
 from savorydale.scheduler.loop_lag import LoopLagMonitor
 from savorydale.scheduler.planner import Planner, PlannerLimits
+from savorydale.scheduler.registration_age import RegistrationAge
 from savorydale.scheduler.run_mover import RunMover
 from savorydale.scheduler.state import SchedulerState
 from savorydale.scheduler.takeover import load_state
@@ -106,6 +108,7 @@
         )
         self._first_contact_slots = asyncio.Semaphore(MAX_FIRST_CONTACTS)
         self._info_by_worker: dict[str, WorkerInfo] = {}
+        self._registration_age = RegistrationAge()
         self._wake = asyncio.Event()
         self._store_clock_offset_ms = 0.0
         self._task_group: asyncio.TaskGroup | None = None
@@ -182,6 +185,19 @@
         self._update_renewal_waits()
         self.wake()
 
+    def record_registrations(self) -> None:
+        """Record that all changes of registrations up to now are known."""
+        if not self._registration_age.is_recent():
+            self.wake()
+        self._registration_age.record_response()
+
+    def _find_start_obstacle(self) -> StartObstacle | None:
+        if not self._lease.is_current():
+            return StartObstacle.LEASE_NOT_CURRENT
+        if not self._registration_age.is_recent():
+            return StartObstacle.REGISTRATIONS_OLD
+        return None
+
     def _update_renewal_waits(self) -> None:
         wait_ms = renewal_wait_ms(len(self._info_by_worker))
         for link in self._state.links:
@@ -236,7 +252,7 @@
             self._lease.epoch,
             self._timing.lease_max_ms,
             self._counters,
-            self._lease.is_current,
+            self._find_start_obstacle,
             self._first_contact_slots,
         )
         self._state.link_by_worker[info.worker] = link
@@ -437,11 +453,18 @@
                 pass  # no event; the lease must be renewed
             self._wake.clear()
             started_at = loop.time()
-            if not self._planner.plan():
+            if not self._plan():
                 self.wake()
             pause_seconds = PLANNING_PAUSE_RATIO * (loop.time() - started_at)
             await self._commit()
 
+    def _plan(self) -> bool:
+        """Plan unless registrations are old; return whether the round is complete."""
+        if not self._registration_age.is_recent():
+            self._counters.increment("planning.registrations_old")
+            return True
+        return self._planner.plan()
+
     async def _commit(self) -> None:
         loop = asyncio.get_running_loop()
         if (
