Place no backfill on a worker whose reserved CPU exceeds its capacity

Cause: backfill reserves no CPU, so it was placed on a worker that had shrunk below what its other tasks reserve, as long as these were estimated to leave CPU unused. Change: such a worker takes no backfill.

--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -152,6 +152,7 @@
             return False
         if self.accelerators + spec.accelerators > capacity.accelerators:
             return False
-        if spec.backfill:
-            return spec.cpu_millicores <= capacity.cpu_millicores
-        return self.cpu_millicores + spec.cpu_millicores <= capacity.cpu_millicores
+        if not spec.backfill:
+            return self.cpu_millicores + spec.cpu_millicores <= capacity.cpu_millicores
+        # Backfill reserves no CPU, but a worker that shrank may have none to spare.
+        return max(self.cpu_millicores, spec.cpu_millicores) <= capacity.cpu_millicores
