Keep planned runs of a worker that restarts under its identifier

Change: a run whose start order was not sent yet is not unknown after a restart; its order goes to the new incarnation.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -374,7 +374,7 @@
 
         A start order may have reached the new incarnation already, so runs that were
         confirmed after the list was requested, or not at all, are resolved by the next
-        list.
+        list. Orders that were not sent yet are sent to the new incarnation.
         """
         log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
         self.processed_number = 0
@@ -382,6 +382,8 @@
         self._lease_clock.reset_leases()
         self._token += 1
         for run in self.run_by_task.values():
+            if run.state is RunState.RESERVED:
+                continue
             if run.state is RunState.ACTIVE and run.confirmed_at < sent_at:
                 continue  # the current list shows whether the run exists
             run.state = RunState.UNKNOWN
