--- a/savorydale/tests/capacity_change_tests.py
+++ b/savorydale/tests/capacity_change_tests.py
@@ -293,6 +293,22 @@
         assert running(branch) == 3
 
 
+@on_virtual_time
+async def test_start_orders_that_wait_are_not_sent_on_old_registrations():
+    async with open_small_branch(grace_seconds=CAPACITY_GRACE_SECONDS) as branch:
+        set_slow_orders(branch)
+        await submit(branch, JOB, SMALL_TASK)
+        end_refusal = refuse_reads_of_table(branch, "servers")
+        await asyncio.sleep(1.5)  # the request in progress ends
+        branch.set_capacity(WORKER, cpu=1200)
+        await asyncio.sleep(2 * CAPACITY_GRACE_SECONDS)
+        assert running(branch) < 40
+        assert branch.counters.count("start.registrations_old") > 0
+        end_refusal()
+        branch.set_capacity(WORKER, cpu=8000)
+        await wait_until_running(branch, 40, 15)
+
+
 @on_virtual_time
 async def test_worker_whose_registration_became_unreadable_gets_nothing():
     async with open_small_branch() as branch:
