End the changes of capacity in the soak with its other faults

Not a fault of the scheduler. Change: capacities change only until the faults end, as the other faults begin. The check of the final state stays as it is.

--- a/savorydale/tests/branch_soak.py
+++ b/savorydale/tests/branch_soak.py
@@ -209,19 +209,23 @@
     async def _change_capacities_until(self, end_at: float) -> None:
         """Shrink workers from time to time, whatever the other faults are."""
         loop = asyncio.get_running_loop()
+        rng = self.capacity_rng
         assert self._group is not None
-        while loop.time() < end_at:
-            interval = self.capacity_rng.expovariate(1 / SHRINK_INTERVAL_SECONDS)
+        while True:
+            interval = rng.expovariate(1 / SHRINK_INTERVAL_SECONDS)
+            if loop.time() + interval >= end_at:
+                return
             await asyncio.sleep(interval)
             self.faults += 1
-            self._group.create_task(self._shrink_worker())
+            max_seconds = end_at - loop.time()
+            self._group.create_task(self._shrink_worker(max_seconds))
 
-    async def _shrink_worker(self) -> None:
+    async def _shrink_worker(self, max_seconds: float) -> None:
         rng = self.capacity_rng
         name = f"w{rng.randrange(WORKER_COUNT)}"
         cpu, memory_mb = rng.choice((500, 2000, 4000)), rng.choice((1000, 4000, 16000))
         self.branch.set_capacity(name, cpu=cpu, memMb=memory_mb)
-        await asyncio.sleep(rng.uniform(1.0, 15.0))
+        await asyncio.sleep(min(max_seconds, rng.uniform(1.0, 15.0)))
         self.branch.set_capacity(name, **INITIAL_CAPACITY)
 
     async def _kill_entry(self) -> None:
