Test planned runs of a worker whose active runs exceed its capacity

Cause: what reserves nothing of the resource that is short is placed no more on such a worker, but was not withdrawn if planned before. In test_backfill_reserves_memory_but_no_cpu, a batch task replaces the backfill as what relieves the CPU: the former case, backfill alone beside active runs over the capacity, expected that it stays, and is now expected to be withdrawn, which is stricter.

--- a/savorydale/tests/capacity_change_tests.py
+++ b/savorydale/tests/capacity_change_tests.py
@@ -204,6 +204,22 @@
         await wait_until_running(branch, 1, 1, OTHER_JOB)
 
 
+@on_virtual_time
+async def test_planned_backfill_is_withdrawn_if_active_runs_exceed_the_capacity():
+    async with open_small_branch() as branch:
+        await submit(branch, OTHER_JOB, StepSpec(6, 1000, 100, long_running=True))
+        await wait_until_running(branch, 6, 3, OTHER_JOB)
+        backfill = StepSpec(1, 1000, 100, image="report", backfill=True)
+        branch.store.transaction_seconds = TRANSACTION_SECONDS
+        await submit(branch, JOB, backfill)
+        await branch.wait_until(lambda: branch.counters.count("run.assigned") == 7, 5)
+        branch.set_capacity(WORKER, cpu=5500)
+        await asyncio.sleep(5)
+        assert running(branch) == 0
+        branch.set_capacity(WORKER, cpu=8000)
+        await wait_until_running(branch, 1, 3)
+
+
 @on_virtual_time
 async def test_waiting_tasks_start_at_once_when_the_capacity_grows():
     async with open_small_branch() as branch:
--- a/savorydale/tests/orders/withdrawal_tests.py
+++ b/savorydale/tests/orders/withdrawal_tests.py
@@ -31,9 +31,21 @@
 
 
 def test_backfill_reserves_memory_but_no_cpu():
-    runs = make_runs(StepSpec(1, 1000, 100, backfill=True))
-    assert choose_withdrawals(Resources(500, 0, 0), runs) == []
-    assert choose_withdrawals(Resources(0, 50, 0), runs) == runs
+    batch, backfill = make_runs(
+        StepSpec(1, 1000, 100), StepSpec(1, 1000, 100, backfill=True)
+    )
+    runs = [batch, backfill]
+    assert choose_withdrawals(Resources(500, 0, 0), runs) == [batch]
+    assert choose_withdrawals(Resources(0, 50, 0), runs) == [backfill]
+
+
+def test_nothing_is_started_if_active_runs_exceed_the_capacity():
+    backfill, other = make_runs(
+        StepSpec(1, 1000, 100, backfill=True), StepSpec(1, 100, 0)
+    )
+    runs = [backfill, other]
+    assert choose_withdrawals(Resources(500, 0, 0), runs) == [other, backfill]
+    assert choose_withdrawals(Resources(0, 500, 0), runs) == [other, backfill]
 
 
 def test_all_planned_runs_are_withdrawn_if_active_ones_exceed_the_capacity():
