Withdraw all planned runs if active runs exceed a worker's capacity

Change: if the withdrawal of runs that reserve what is short does not suffice, no planned run starts, just as none is placed then.

--- a/savorydale/orders/withdrawal.py
+++ b/savorydale/orders/withdrawal.py
@@ -15,14 +15,17 @@
     """Return the runs to withdraw so that ``excess`` vanishes, as far as it can.
 
     ``planned`` are in the order in which they were planned. Runs that reserve nothing
-    of what is short stay.
+    of what is short stay, unless active runs exceed the capacity by themselves.
     """
     withdrawn: list[Run] = []
+    remaining = excess
     for run in reversed(planned):
-        if not _relieves(excess, run.reserved):
+        if not _relieves(remaining, run.reserved):
             continue
         withdrawn.append(run)
-        excess = _subtract(excess, run.reserved)
+        remaining = _subtract(remaining, run.reserved)
+    if any(remaining):
+        return list(reversed(planned))
     return withdrawn
 
 
