--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -14,6 +14,7 @@
 class RunState(Enum):
     """Known state of a run on its worker."""
 
+    RESERVED = "reserved"  # its start order was not sent yet
     ASSIGNED = "assigned"  # no response to the start order so far
     UNKNOWN = "unknown"  # the start order may have been executed, or may be later
     ACTIVE = "active"  # the worker has confirmed the run
@@ -34,7 +35,7 @@
     number: int
     spec: StepSpec
     assigned_at: float
-    state: RunState = RunState.ASSIGNED
+    state: RunState = RunState.RESERVED
     resolving_token: int = 0
     confirmed_at: float = 0.0
     stop_requested: bool = False
@@ -47,6 +48,12 @@
     usage: float = 0.0
     last_unstuck_at: float = 0.0
 
+    @property
+    def reserved(self) -> Resources:
+        """Return what the run reserves of its worker's capacity."""
+        cpu_millicores = 0 if self.spec.backfill else self.spec.cpu_millicores
+        return Resources(cpu_millicores, self.spec.memory_mb, self.spec.accelerators)
+
     def record_progress(self, percent: float, now: float) -> None:
         """Record how much of the work is done."""
         if self.first_progress_percent is None:
@@ -64,11 +71,12 @@
     the speed that was set for it. ``services_by_image`` counts the services that have
     a latency target, which backfill may slow down. ``backfill_by_image`` is what
     backfill of each image would use at full speed, in millicores. ``revision`` changes
-    whenever a run is added or removed, ``service_revision`` whenever a service is.
+    whenever a run is added or removed or the capacity changes, ``service_revision``
+    whenever a service is added or removed.
     """
 
     def __init__(self, capacity: Resources):
-        self.capacity = capacity
+        self._capacity = capacity
         self.cpu_millicores = 0
         self.service_millicores = 0
         self.backfill_millicores = 0.0
@@ -79,6 +87,17 @@
         self.revision = 0
         self.service_revision = 0
 
+    @property
+    def capacity(self) -> Resources:
+        """Return the worker's total capacity."""
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, capacity: Resources) -> None:
+        """Set the worker's total capacity."""
+        self._capacity = capacity
+        self.revision += 1
+
     def add(self, run: Run, sign: int = 1) -> None:
         """Add the resources of a run; ``sign`` -1 subtracts them."""
         spec = run.spec
@@ -102,6 +121,15 @@
         """Return the CPU that batch tasks reserve."""
         return self.cpu_millicores - self.service_millicores
 
+    @property
+    def excess(self) -> Resources:
+        """Return by how much the runs exceed the capacity, which may have shrunk."""
+        return Resources(
+            max(0, self.cpu_millicores - self.capacity.cpu_millicores),
+            max(0, self.memory_mb - self.capacity.memory_mb),
+            max(0, self.accelerators - self.capacity.accelerators),
+        )
+
     def set_speed(self, run: Run, percent: int) -> None:
         """Set the speed of a backfill run and update the CPU that backfill uses."""
         percent_change = max(0, percent) - max(0, run.requested_percent)
@@ -124,6 +152,7 @@
             return False
         if self.accelerators + spec.accelerators > capacity.accelerators:
             return False
-        if spec.backfill:
-            return spec.cpu_millicores <= capacity.cpu_millicores
-        return self.cpu_millicores + spec.cpu_millicores <= capacity.cpu_millicores
+        if not spec.backfill:
+            return self.cpu_millicores + spec.cpu_millicores <= capacity.cpu_millicores
+        # Backfill reserves no CPU, but a worker that shrank may have none to spare.
+        return max(self.cpu_millicores, spec.cpu_millicores) <= capacity.cpu_millicores
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -23,6 +23,8 @@
     Renewed,
     RenewOrder,
     RenewOutcome,
+    Resources,
+    StartObstacle,
     StartOrder,
     Unanswered,
     WorkerInfo,
@@ -32,6 +34,7 @@
 from savorydale.orders.lease_clock import LeaseClock
 from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
+from savorydale.orders.withdrawal import choose_withdrawals
 
 RENEW_RETRY_SECONDS = 0.1
 MIN_RENEW_TIMEOUT_SECONDS = 0.5
@@ -67,7 +70,7 @@
 class WorkerLink:
     """Sends orders to one worker and tracks its runs.
 
-    No start order is sent unless ``may_start()`` is true at that moment. All links
+    No start order is sent while ``find_obstacle()`` returns an obstacle. All links
     share ``first_contact_slots``: a new lease holder connects to a few workers at a
     time, or the connections to a large fleet would all time out.
 
@@ -83,7 +86,7 @@
         epoch: int,
         lease_max_ms: float,
         counters: Counters,
-        may_start: Callable[[], bool] = lambda: True,
+        find_obstacle: Callable[[], StartObstacle | None] = lambda: None,
         first_contact_slots: asyncio.Semaphore | None = None,
     ):
         self.info = info
@@ -101,7 +104,7 @@
         self._token = epoch * TOKENS_PER_EPOCH
         self._lease_clock = LeaseClock(lease_max_ms)
         self._counters = counters
-        self._may_start = may_start
+        self._find_obstacle = find_obstacle
         self._first_contact_slots = first_contact_slots or asyncio.Semaphore()
         self._info_updated_at = asyncio.get_running_loop().time()
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
@@ -121,6 +124,21 @@
         self.info = info
         self._info_updated_at = asyncio.get_running_loop().time()
 
+    def set_capacity(self, capacity: Resources) -> list[Run]:
+        """Update the worker's capacity and return the runs that are withdrawn.
+
+        These are planned runs that no longer fit; their start orders are never sent.
+        """
+        self.load.capacity = capacity
+        planned = [
+            run for run in self.run_by_task.values() if run.state is RunState.RESERVED
+        ]
+        withdrawn = choose_withdrawals(self.load.excess, planned)
+        for run in withdrawn:
+            self._counters.increment("start.over_capacity")
+            self._drop_run(run, "the worker's capacity has shrunk")
+        return withdrawn
+
     def seconds_left(self, now: float) -> float | None:
         """Return the minimum time until a draining worker is removed, if known."""
         if self.info.remaining_ms is None:
@@ -363,7 +381,7 @@
 
         A start order may have reached the new incarnation already, so runs that were
         confirmed after the list was requested, or not at all, are resolved by the next
-        list.
+        list. Orders that were not sent yet are sent to the new incarnation.
         """
         log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
         self.processed_number = 0
@@ -371,6 +389,8 @@
         self._lease_clock.reset_leases()
         self._token += 1
         for run in self.run_by_task.values():
+            if run.state is RunState.RESERVED:
+                continue
             if run.state is RunState.ACTIVE and run.confirmed_at < sent_at:
                 continue  # the current list shows whether the run exists
             run.state = RunState.UNKNOWN
@@ -403,9 +423,10 @@
             if self.run_by_task.get(run.task) is not run or run.stop_requested:
                 self._drop_run(run, "stopped before its start")
                 return
-            if not self._may_start():
-                self._counters.increment("start.lease_not_current")
-                self._drop_run(run, "the scheduler's lease may be lost")
+            obstacle = self._find_obstacle()
+            if obstacle is not None:
+                self._counters.increment(f"start.{obstacle}")
+                self._drop_run(run, f"no start is allowed: {obstacle}")
                 return
             token = self._token
             lease_end_ms = self._next_lease_end_ms()
@@ -415,6 +436,8 @@
             order = StartOrder(
                 run.task, run.number, payload, lease_end_ms, checkpoint, ticket
             )
+            if run.state is RunState.RESERVED:
+                run.state = RunState.ASSIGNED
             outcome = await self._send_start(token, order)
         if self.run_by_task.get(run.task) is not run:
             return
--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -28,14 +28,20 @@
 
 
 class WorkerRegistry:
-    """Follows the table in which workers register themselves."""
+    """Follows the table in which workers register themselves.
+
+    A worker whose registration cannot be read counts as not registered: it gets no new
+    runs, since its capacity is unknown, and keeps those that it has.
+    """
 
     def __init__(
         self,
         on_change: Callable[[dict[str, WorkerInfo]], None],
         counters: Counters,
+        on_response: Callable[[], None] = lambda: None,
     ):
         self._on_change = on_change
+        self._on_response = on_response
         self._counters = counters
         self._info_by_worker: dict[str, WorkerInfo] = {}
 
@@ -54,6 +60,7 @@
             try:
                 self._info_by_worker[worker] = decode_worker(worker, row.value)
             except RowFormatError as error:
+                self._info_by_worker.pop(worker, None)
                 self._counters.increment("registration.unreadable")
                 log.info(
                     "registration is skipped",
@@ -62,7 +69,8 @@
         self._on_change(dict(self._info_by_worker))
 
     def record_response(self, store_ms: int) -> None:
-        """Do nothing; registrations do not expire."""
+        """Report that all changes are known."""
+        self._on_response()
 
 
 class ConfigurationFollower:
