Test that tasks which crash their workers are given up

Cause: a task may crash each worker that starts it, and is started again and again. Change: the stand-in of a worker runs plans that crash it, and is back later, as the same worker or under a new identifier; requests in progress break then. The invariant checker counts the crashes that a task causes.

--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -20,9 +20,10 @@
 from savorydale.jobs.rows import JobStatus
 from savorydale.orders.interface import WorkerTarget
 from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
+from savorydale.platform.workers import INCARNATION_HEADER
 from savorydale.tests.invariant_checker import InvariantChecker
 from standins.row_store import RowStoreStandin
-from standins.task_worker import Plan, TaskWorkerStandin
+from standins.task_worker import CRASHED_SECONDS, Plan, TaskWorkerStandin
 
 STORE_ADDRESS = "10.9.0.1:80"
 SERVICE = "desk"
@@ -65,12 +66,18 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 return await self._send(
-                    address, method, "/" + path, params or {}, body, faults
+                    address,
+                    method,
+                    "/" + path,
+                    params or {},
+                    body,
+                    faults,
+                    (headers or {}).get(INCARNATION_HEADER, ""),
                 )
         except TimeoutError:
             raise NoReplyError("timeout") from None
 
-    async def _send(self, address, method, path, params, body, faults):
+    async def _send(self, address, method, path, params, body, faults, target):
         branch = self._branch
         await asyncio.sleep(branch.latency_to(address) + faults.delay_seconds)
         if faults.refuses:
@@ -80,16 +87,26 @@
         server = branch.server_at(address)
         if server is None:
             raise NotSentError("connection refused")
+        if isinstance(server, TaskWorkerStandin) and server.worker != target:
+            return HttpReply(421, {})
         body = json.loads(json.dumps(body)) if body is not None else None
         if branch.rng.random() < faults.late_order_probability:
             branch.spawn(self._execute_late(server, method, path, params, body, faults))
             await asyncio.sleep(NO_REPLY_SECONDS)
-        reply = await server.handle(method, path, params, body)
+        reply = await self._handle(server, method, path, params, body)
         await asyncio.sleep(faults.reply_delay_seconds)
         if branch.rng.random() < faults.lost_response_probability:
             await asyncio.sleep(NO_REPLY_SECONDS)
         return HttpReply(reply.status, json.loads(json.dumps(reply.body)))
 
+    async def _handle(self, server, method, path, params, body):
+        """Return the server's reply; the connection breaks if it crashes meanwhile."""
+        incarnation = getattr(server, "incarnation", None)
+        reply = await server.handle(method, path, params, body)
+        if getattr(server, "incarnation", None) != incarnation:
+            raise NoReplyError("connection reset")
+        return reply
+
     async def _execute_late(self, server, method, path, params, body, faults):
         await asyncio.sleep(
             faults.late_order_seconds * self._branch.rng.uniform(0.3, 1.5)
@@ -105,6 +122,7 @@
     def __init__(self, plan: Callable[[str, int], Plan], seed: int = 1):
         self.rng = random.Random(seed)
         self.processor_counts: tuple[float, ...] = ()
+        self.renames_crashed_workers = False
         self._seed = seed
         self._incarnation_count = 0
         self.store = RowStoreStandin()
@@ -145,16 +163,27 @@
             self._plan,
             self.checker.on_start,
             self.checker.on_end,
+            on_crash=lambda: self.spawn(self._bring_back(name)),
         )
         self.worker_by_name[name] = worker
         self.register(name)
         return worker
 
+    async def _bring_back(self, name: str) -> None:
+        """Start a crashed worker again, maybe under a new identifier."""
+        await asyncio.sleep(CRASHED_SECONDS)
+        worker = self.worker_by_name[name]
+        if self.renames_crashed_workers:
+            self.store.delete("servers", worker.worker)
+            worker.worker = f"{name}-{worker.incarnation}"
+        worker.is_up = True
+        self.register(name)
+
     def register(self, name: str, state: str = "ready") -> None:
-        """Write the registration of a worker to the store."""
+        """Write the registration of the worker at an address to the store."""
         worker = self.worker_by_name[name]
         row = worker.registration(f"{name}:80", SERVICE, ["a", "r1"], state)
-        self.store.put("servers", name, row)
+        self.store.put("servers", worker.worker, row)
 
     def start_entry(self, name: str) -> JobEntry:
         """Start an entry, as a new incarnation."""
--- a/savorydale/tests/invariant_checker.py
+++ b/savorydale/tests/invariant_checker.py
@@ -5,8 +5,12 @@
 
 from savorydale.jobs.model import StepSpec
 from savorydale.jobs.rows import JobStatus
+from standins import task_worker as worker_standin
 
 WORKER_MILLICORES = 8_000
+CRASHES_BEFORE_GIVING_UP = 2  # a task that has crashed as many workers may be given up
+MAX_CRASHES = 3  # after these, a task may be started less than three times
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 class InvariantChecker:
@@ -25,6 +29,9 @@
         self._acknowledged_failures: collections.Counter[str] = collections.Counter()
         self._run_by_task: dict[str, int] = {}
         self._failures: collections.Counter[str] = collections.Counter()
+        self.crashes: collections.Counter[str] = collections.Counter()
+        self._crashes_under: collections.Counter[str] = collections.Counter()
+        self._starts_after_crashes: collections.Counter[str] = collections.Counter()
         self._steps_by_job: dict[str, Sequence[StepSpec]] = {}
         self._attempts_by_job: dict[str, int] = {}
 
@@ -36,6 +43,7 @@
     def on_start(self, worker: str, task: str, run: int) -> None:
         """Record and check the start of a run."""
         self.starts[task] += 1
+        self._check_crashes(task)
         if task in self._worker_by_task:
             other = self._worker_by_task[task]
             self.violations.append(
@@ -70,6 +78,11 @@
                 self._done_tasks.add(task)
             case "failed":
                 self._failures[task] += 1
+            case worker_standin.CRASH:
+                self.crashes[task] += 1
+                self._crashes_under[task] += 1
+            case worker_standin.CRASHED:
+                self._crashes_under[task] += 1
         if outcome.startswith("noted"):
             return
         self.ends[task] += 1
@@ -90,7 +103,7 @@
                 f"{task} is not done, but {job} is completed" for task in missing
             ]
         elif status is JobStatus.FAILED:
-            if not self._has_exhausted_attempts(job):
+            if not self._has_exhausted_attempts(job) and not self._has_crashed(job):
                 self.violations.append(f"{job} is failed, but has attempts left")
         elif status is not JobStatus.CANCELLED or not is_cancelled:
             self.violations.append(f"{job} has the unexpected final status {status}")
@@ -102,6 +115,25 @@
         attempts = self._attempts_by_job[job]
         return any(self._failures[task] >= attempts for task in self._tasks(job))
 
+    def _has_crashed(self, job: str) -> bool:
+        """Return whether enough workers have crashed under a task of a job.
+
+        Crashes that another task caused do not count.
+        """
+        return any(
+            self._crashes_under[task] >= CRASHES_BEFORE_GIVING_UP
+            for task in self._tasks(job)
+        )
+
+    def _check_crashes(self, task: str) -> None:
+        if self.crashes[task] < MAX_CRASHES:
+            return
+        self._starts_after_crashes[task] += 1
+        if self._starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(
+                f"{task} started again after {self.crashes[task]} crashes"
+            )
+
     def _tasks(self, job: str, only_step: int | None = None) -> list[str]:
         return [
             f"{job}.0.{step}.{index}"
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -13,6 +13,10 @@
 STOP_DELAY_SECONDS = 0.1
 MAX_ENDS_PER_REPLY = 500
 STALL_FACTOR = 10_000.0  # a stalled run would end long after the test
+CRASHED_SECONDS = 2.0  # until a crashed worker is back, if nothing else is set
+CRASH = "crash"  # outcome of a run that crashes its worker
+CRASHED = "crashed"  # end of a run on a worker that crashed for its own reasons
+BESIDE_CRASH = "beside crash"  # end of a run on a worker that another run crashed
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,7 +34,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """Duration and outcome of a run; it never ends if ``seconds`` is ``None``."""
+    """Duration and outcome of a run; it never ends if ``seconds`` is ``None``.
+
+    The outcome `CRASH` crashes the worker.
+    """
 
     seconds: float | None
     outcome: str = "done"
@@ -40,6 +47,8 @@
     """Keeps fencing token, lease, runs and their ends as the platform's workers do.
 
     ``on_start`` and ``on_end`` report starts, ends and acknowledged ends to a test.
+    ``on_crash`` is called when a run has crashed the worker, and sets ``is_up`` again
+    later; by default it is back after `CRASHED_SECONDS`.
     """
 
     def __init__(
@@ -50,6 +59,7 @@
         on_start: Callable[[str, str, int], None] = lambda *_: None,
         on_end: Callable[[str, str, int, str], None] = lambda *_: None,
         clock_rate: float = 1.0,
+        on_crash: Callable[[], None] | None = None,
     ):
         self.worker = worker
         self.lease_max_ms = lease_max_ms
@@ -57,9 +67,11 @@
         self.on_start = on_start
         self.on_end = on_end
         self.clock_rate = clock_rate
+        self.on_crash = on_crash or self._restart_later
         self.incarnation = 0
         self.is_up = True
         self.is_stalled = False
+        self._restart_timer: asyncio.Task[None] | None = None
         self._start_incarnation()
 
     def close(self) -> None:
@@ -69,6 +81,8 @@
                 active_run.timer.cancel()
         if self._lease_timer is not None:
             self._lease_timer.cancel()
+        if self._restart_timer is not None:
+            self._restart_timer.cancel()
 
     def _start_incarnation(self) -> None:
         self.incarnation += 1000
@@ -110,19 +124,37 @@
             }
         ).encode()
 
-    def crash(self, restarts: bool = True) -> None:
+    def crash(self, restarts: bool = True, culprit: str = "") -> None:
         """Lose all runs without reporting their ends, and start a new incarnation.
 
-        With ``restarts`` false the worker stays down.
+        With ``restarts`` false the worker stays down. ``culprit`` is the task that
+        crashed it, if any.
         """
         for active_run in list(self.run_by_task.values()):
             self._remove(active_run)
-            self.on_end(self.worker, active_run.task, active_run.run, "crashed")
+            outcome = BESIDE_CRASH if culprit else CRASHED
+            if active_run.task == culprit:
+                outcome = CRASH
+            self.on_end(self.worker, active_run.task, active_run.run, outcome)
         self.is_up = restarts
         if self._lease_timer:
             self._lease_timer.cancel()
+        self._run_ended.set()  # renewals in progress are broken off
         self._start_incarnation()
 
+    def _crash_under(self, active_run: ActiveRun) -> None:
+        if self.run_by_task.get(active_run.task) is not active_run:
+            return
+        self.crash(restarts=False, culprit=active_run.task)
+        self.on_crash()
+
+    def _restart_later(self) -> None:
+        self._restart_timer = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(CRASHED_SECONDS)
+        self.is_up = True
+
     async def handle(
         self, method: str, path: str, params: dict[str, str], body: JsonObject | None
     ) -> Reply:
@@ -166,6 +198,9 @@
 
     async def _end_after(self, active_run: ActiveRun, seconds: float) -> None:
         await asyncio.sleep(seconds * (STALL_FACTOR if self.is_stalled else 1.0))
+        if active_run.outcome == CRASH:
+            self._crash_under(active_run)
+            return
         self._end(active_run, active_run.outcome)
 
     def _stop(self, order: JsonObject) -> Reply:
