Give up tasks that crash their workers

Cause: a task that crashes the worker that starts it was started on one worker after the other. Change: a link tells a crash (connections refused, another incarnation, a restart without a longer silence) from silence and planned leaving; the runs on probation are the suspects; their crashes are counted in the step's row. A suspect is started apart from other new runs, so the next crash is attributed to it or it is cleared. It is given up at two attributed crashes or at four in all, and its job fails. A refused connection has a refusal reason of its own, not_listening, since a connection that times out is no crash.

--- a/savorydale/jobs/progress.py
+++ b/savorydale/jobs/progress.py
@@ -6,6 +6,7 @@
 
 from savorydale.jobs.model import QueueSettings, StepSpec, TaskId
 from savorydale.jobs.rows import JobRow, JobStatus, TaskRow, step_key
+from savorydale.placement.crashes import NO_CRASHES, CrashCounts
 from savorydale.storage.rows import RowKey
 
 
@@ -14,8 +15,8 @@
     """Progress of one task.
 
     ``worker`` is set while a run is assigned. ``excluded_workers`` are the workers on
-    which the task has failed. ``wait_started_at`` is when it was last requeued, on the
-    loop's clock; 0 if it never was.
+    which the task has failed, or that it may have crashed. ``wait_started_at`` is when
+    it was last requeued, on the loop's clock; 0 if it never was.
     """
 
     id: TaskId
@@ -24,6 +25,7 @@
     failures: int = 0
     worker: str = ""
     checkpoint: str = ""
+    crashes: CrashCounts = NO_CRASHES
     excluded_workers: frozenset[str] = frozenset()
     wait_started_at: float = 0.0
 
@@ -34,7 +36,14 @@
 
     def to_row(self) -> TaskRow:
         """Return the state that is stored."""
-        return TaskRow(self.done, self.run, self.failures, self.worker, self.checkpoint)
+        return TaskRow(
+            self.done,
+            self.run,
+            self.failures,
+            self.worker,
+            self.checkpoint,
+            self.crashes,
+        )
 
 
 class StepProgress:
@@ -224,12 +233,12 @@
 
     @property
     def has_failed(self) -> bool:
-        """Return whether a task has used up its attempts."""
+        """Return whether a task has used up its attempts or crashed its workers."""
         max_attempts = self.queue.max_attempts
         return any(
-            task.failures >= max_attempts
+            task.crashes.is_given_up
+            or (task.failures >= max_attempts and not step.spec.long_running)
             for step in self.known_steps()
-            if not step.spec.long_running
             for task in step.tasks
         )
 
--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -19,6 +19,7 @@
 
 from savorydale.exceptions import RowFormatError
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.placement.crashes import NO_CRASHES, CrashCounts
 from savorydale.placement.interference import INTERCEPT, TailFit
 from savorydale.storage.rows import RowKey
 from savorydale.utils.json_values import (
@@ -86,6 +87,7 @@
     """Progress of one task.
 
     ``worker`` is the worker that the latest run was assigned to, empty if none.
+    ``crashes`` are stored only if there are any.
     """
 
     done: bool
@@ -93,6 +95,7 @@
     failures: int
     worker: str
     checkpoint: str
+    crashes: CrashCounts = NO_CRASHES
 
 
 class SummaryRow(NamedTuple):
@@ -214,7 +217,10 @@
 def _encode_task(row: TaskRow) -> list[Any] | int:
     if row.done:
         return DONE_TASK
-    return [0, *row[1:]] if row.run else WAITING_TASK
+    if not row.run:
+        return WAITING_TASK
+    fields = [0, row.run, row.failures, row.worker, row.checkpoint]
+    return [*fields, *row.crashes] if any(row.crashes) else fields
 
 
 def decode_step(value: bytes) -> list[TaskRow]:
@@ -231,13 +237,14 @@
         return TaskRow(False, 0, 0, "", "")
     if item == DONE_TASK:
         return TaskRow(True, 1, 0, "", "")
-    done, run, failures, worker, checkpoint = item
+    done, run, failures, worker, checkpoint, *crashes = item
     return TaskRow(
         bool(done),
         to_int(run),
         to_int(failures),
         to_text(worker),
         to_text(checkpoint),
+        CrashCounts(*map(to_int, crashes)),
     )
 
 
--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -22,6 +22,7 @@
     state_key,
 )
 from savorydale.orders.interface import EndedRun, EndReason
+from savorydale.placement.crashes import NO_CRASHES
 from savorydale.storage.rows import RowKey, RowWrite
 
 
@@ -35,10 +36,14 @@
 
 
 class JobTracker:
-    """All jobs that have not ended, and their rows that are not written yet."""
+    """All jobs that have not ended, and their rows that are not written yet.
+
+    ``suspect_by_id`` holds the tasks that may have crashed a worker.
+    """
 
     def __init__(self) -> None:
         self.job_by_id: dict[str, JobProgress] = {}
+        self.suspect_by_id: dict[TaskId, Task] = {}
         self._changed_steps: dict[RowKey, StepProgress] = {}
         self._changed_states: dict[str, StateRow] = {}
         self._deleted_rows: dict[RowKey, None] = {}
@@ -74,6 +79,9 @@
             task.failures = row.failures
             task.worker = row.worker
             task.checkpoint = row.checkpoint
+            task.crashes = row.crashes
+            if task.crashes.is_suspect and not row.done:
+                self.suspect_by_id[task.id] = task
             step.has_started = step.has_started or row.run > 0
             if row.done:
                 step.mark_done(task)
@@ -130,6 +138,8 @@
         members = step.tasks if step.spec.gang else [task]
         for member in members:
             step.mark_done(member)
+            member.crashes = NO_CRASHES
+            self.suspect_by_id.pop(member.id, None)
 
     def _record_failure(self, step: StepProgress, task: Task, worker: str) -> EndEffect:
         task.excluded_workers |= {worker}
@@ -141,6 +151,21 @@
             return EndEffect.REQUEUED
         return EndEffect.GAVE_UP
 
+    def record_crash(
+        self, step: StepProgress, task: Task, worker: str, is_attributed: bool
+    ) -> None:
+        """Record that ``worker`` crashed, maybe because of ``task``."""
+        task.crashes = task.crashes.add_crash(is_attributed)
+        task.excluded_workers |= {worker}
+        self.suspect_by_id[task.id] = task
+        self._changed_steps[step.key] = step
+
+    def clear_suspicion(self, step: StepProgress, task: Task) -> None:
+        """Record that ``task`` ran without crashing its worker."""
+        task.crashes = NO_CRASHES
+        self.suspect_by_id.pop(task.id, None)
+        self._changed_steps[step.key] = step
+
     def finish(self, job: JobProgress, status: JobStatus, ended_ms: int) -> None:
         """Record the terminal state of a job; its runs may still be stopping."""
         self._set_status(job, status, ended_ms)
@@ -170,6 +195,8 @@
             return
         for step in job.known_steps():
             self._changed_steps.pop(step.key, None)
+            for task in step.tasks:
+                self.suspect_by_id.pop(task.id, None)
             self._deleted_rows[step.key] = None
 
     def take_changes(self) -> list[RowWrite]:
--- a/savorydale/orders/interface.py
+++ b/savorydale/orders/interface.py
@@ -117,6 +117,7 @@
     UNHEALTHY = "unhealthy"
     NOT_UNDERSTOOD = "not_understood"
     UNREACHABLE = "unreachable"
+    NOT_LISTENING = "not_listening"  # the host is up, but the worker's process is not
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -28,6 +28,9 @@
     never will. ``usage`` is that of the last report; see `ActiveRun`. All times
     ``..._at`` are on the loop's clock. ``last_unstuck_at`` is when a backfill run was
     last found to be allowed more than a minimal speed, or not to be active.
+    ``start_sent_at`` is ``None`` if the worker certainly never had the run. A run has
+    passed its probation once its worker did not crash soon after the start.
+    ``was_suspected`` tells whether it was one of the suspects of a crash.
     """
 
     task: TaskId
@@ -46,6 +49,9 @@
     requested_percent: int = FULL_SPEED_PERCENT
     usage: float = 0.0
     last_unstuck_at: float = 0.0
+    start_sent_at: float | None = None
+    passed_probation: bool = False
+    was_suspected: bool = False
 
     def record_progress(self, percent: float, now: float) -> None:
         """Record how much of the work is done."""
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -32,6 +32,7 @@
 from savorydale.orders.lease_clock import LeaseClock
 from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
+from savorydale.placement.crashes import find_suspects, has_passed_probation
 
 RENEW_RETRY_SECONDS = 0.1
 MIN_RENEW_TIMEOUT_SECONDS = 0.5
@@ -44,6 +45,7 @@
 MAX_CONCURRENT_ORDERS = 2
 TOKENS_PER_EPOCH = 1_000_000
 MILLISECONDS_PER_SECOND = 1000
+GONE_REASONS = (RefusalReason.NOT_LISTENING, RefusalReason.OTHER_INCARNATION)
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +62,12 @@
     def on_started(self, link: "WorkerLink", run: Run) -> None:
         """Handle a start order that the worker has accepted."""
 
+    def on_crash(self, link: "WorkerLink", suspects: list[Run]) -> None:
+        """Handle a crash of the worker, which one of the suspects may have caused."""
+
+    def on_probation_passed(self, link: "WorkerLink", run: Run) -> None:
+        """Handle a run that did not crash the worker soon after its start."""
+
     def on_report(self, link: "WorkerLink") -> None:
         """Handle new progress and usage of all active runs."""
 
@@ -109,6 +117,9 @@
         self._polls_immediately = True
         self._renew_timeout_seconds = MIN_RENEW_TIMEOUT_SECONDS
         self._acknowledged = asyncio.Event()
+        self._is_incarnation_gone = False
+        self._tasks_in_flight: set[TaskId] = set()  # their starts are not answered yet
+        self._crash_candidates: list[Run] = []
         self._failure: BaseException | None = None
 
     @property
@@ -147,6 +158,7 @@
         """Take over a run that an earlier lease holder assigned."""
         run.state = RunState.UNKNOWN
         run.resolving_token = self._token
+        run.start_sent_at = run.assigned_at
         self._add(run)
 
     def start(self, run: Run, payload: str, checkpoint: str, ticket: str = "") -> None:
@@ -250,6 +262,8 @@
                 self._check_fenced(token)
             case Refused(reason, detail):
                 self._counters.increment(f"hold.refused.{reason}")
+                if reason in GONE_REASONS:
+                    self._on_incarnation_gone()
                 log.debug(
                     "lease renewal refused",
                     extra=self._extra(reason=reason, detail=detail),
@@ -294,7 +308,10 @@
     def _apply_renewal(self, renewed: Renewed, sent_at: float, token: int) -> None:
         now = asyncio.get_running_loop().time()
         if self.born_ms is not None and renewed.born_ms != self.born_ms:
+            self._check_restart(renewed, sent_at)
             self._begin_incarnation(renewed.born_ms, sent_at)
+        if renewed.born_ms != self.born_ms:
+            self._is_incarnation_gone = False
         self.born_ms = renewed.born_ms
         if (
             self.last_contact_at is None
@@ -335,6 +352,7 @@
             self._confirm(run)
             run.record_progress(active.progress_percent, self.last_contact_at or 0.0)
             run.usage = active.usage
+            self._check_probation(run, sent_at)
             if run.stop_requested:
                 self._send_stop(run)
             return
@@ -351,6 +369,66 @@
         )
         self._spawn(self._stop(active.task, active.run))
 
+    # Crashes
+
+    def _check_probation(self, run: Run, listed_at: float) -> None:
+        if run.passed_probation or not has_passed_probation(run, listed_at):
+            return
+        run.passed_probation = True
+        self._listener.on_probation_passed(self, run)
+
+    def _on_incarnation_gone(self) -> None:
+        """Handle that the worker's process is not there, or another one is.
+
+        This is a crash unless the worker was about to leave. A worker that has not
+        answered this lease holder may have been gone before.
+        """
+        self.last_contact_at = None  # no more starts before it answers again
+        if self._is_incarnation_gone or self.born_ms is None:
+            return
+        self._is_incarnation_gone = True
+        if self._is_in_service:
+            self._record_crash(list(self.run_by_task.values()))
+
+    def _check_restart(self, renewed: Renewed, sent_at: float) -> None:
+        """Record a crash if the worker was restarted without a longer silence.
+
+        One that was silent for longer was lost for another reason, such as a power
+        failure: connections to a crashed worker are refused.
+        """
+        is_silent = not self.is_in_contact(asyncio.get_running_loop().time())
+        if self._is_incarnation_gone or is_silent or not self._is_in_service:
+            return
+        active_tasks = {active.task for active in renewed.active}
+        self._record_crash(
+            [
+                run
+                for run in self.run_by_task.values()
+                if run.task not in active_tasks
+                and run.start_sent_at is not None
+                and run.start_sent_at < sent_at
+            ]
+        )
+
+    @property
+    def _is_in_service(self) -> bool:
+        return self.is_registered and not self.info.is_draining
+
+    def _record_crash(self, candidates: list[Run]) -> None:
+        self._crash_candidates = candidates
+        self._report_crash()
+
+    def _report_crash(self) -> None:
+        """Report a crash, as soon as it is known which starts were refused."""
+        candidates = self._crash_candidates
+        if any(run.task in self._tasks_in_flight for run in candidates):
+            return
+        self._crash_candidates = []
+        suspects = find_suspects(candidates)
+        for run in suspects:
+            run.was_suspected = True
+        self._listener.on_crash(self, suspects)
+
     def _begin_incarnation(self, born_ms: int, sent_at: float) -> None:
         """Reset all counters; runs of the earlier incarnation no longer exist.
 
@@ -408,9 +486,18 @@
             order = StartOrder(
                 run.task, run.number, payload, lease_end_ms, checkpoint, ticket
             )
+            run.start_sent_at = asyncio.get_running_loop().time()
+            self._tasks_in_flight.add(run.task)
             outcome = await self._send_start(token, order)
-        if self.run_by_task.get(run.task) is not run:
-            return
+            self._tasks_in_flight.discard(run.task)
+        if isinstance(outcome, Refused):
+            run.start_sent_at = None
+        if self.run_by_task.get(run.task) is run:
+            self._apply_start(run, outcome, token)
+        if self._crash_candidates:
+            self._report_crash()
+
+    def _apply_start(self, run: Run, outcome: OrderOutcome, token: int) -> None:
         extra = self._extra(task=str(run.task), run=run.number, token=token)
         match outcome:
             case Accepted():
@@ -431,6 +518,8 @@
                     # No more starts are sent before the next successful renewal.
                     self.last_contact_at = None
                 self._drop_run(run, f"start refused: {reason}")
+                if reason in GONE_REASONS:
+                    self._on_incarnation_gone()
             case Unanswered(detail):
                 self._counters.increment("start.unanswered")
                 log.info("start unanswered", extra={**extra, "detail": detail})
--- a/savorydale/platform/http.py
+++ b/savorydale/platform/http.py
@@ -1,6 +1,7 @@
 """HTTP client for the platform's store, workers and policy service."""
 
 import asyncio
+import errno
 import json
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
@@ -27,6 +28,10 @@
     """No connection could be made, so nothing was sent."""
 
 
+class ConnectionRefused(NotSentError):
+    """No process listens at the address."""
+
+
 class NoReplyError(Exception):
     """The request may have arrived, but no complete response was received."""
 
@@ -50,8 +55,10 @@
 
         Raises
         ------
+        ConnectionRefused
+            If no process listens at the address.
         NotSentError
-            If no connection could be made.
+            If no connection could be made for another reason.
         NoReplyError
             If no complete response arrived in time.
         """
@@ -66,6 +73,8 @@
             ):
                 raw = await response.read()
         except aiohttp.ClientConnectorError as error:
+            if error.os_error.errno == errno.ECONNREFUSED:
+                raise ConnectionRefused(str(error)) from error
             raise NotSentError(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise NotSentError("connecting timed out") from error
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -20,7 +20,13 @@
     Unanswered,
     WorkerTarget,
 )
-from savorydale.platform.http import HttpClient, HttpReply, NoReplyError, NotSentError
+from savorydale.platform.http import (
+    ConnectionRefused,
+    HttpClient,
+    HttpReply,
+    NoReplyError,
+    NotSentError,
+)
 from savorydale.utils.json_values import (
     JsonObject,
     to_float,
@@ -136,6 +142,8 @@
                 {**body, "fenceToken": target.fencing_token},
                 {INCARNATION_HEADER: target.worker},
             )
+        except ConnectionRefused as error:
+            return Refused(RefusalReason.NOT_LISTENING, str(error))
         except NotSentError as error:
             return Refused(RefusalReason.UNREACHABLE, str(error))
         except NoReplyError as error:
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -21,6 +21,7 @@
     unused_millicores,
 )
 from savorydale.placement.failed_placements import FailedPlacements
+from savorydale.placement.isolation import SuspectIsolation
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
@@ -73,7 +74,8 @@
         self._read_configuration = read_configuration
         self._policy = policy
         self._starts: list[PendingStart] = []
-        self._refused_steps: set[RowKey] = set()
+        self._refused_steps: set[tuple[RowKey, bool]] = set()
+        self._isolation = SuspectIsolation()
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
 
@@ -109,6 +111,8 @@
         waiting = [(step, step.waiting_tasks()) for step in steps]
         waiting = [item for item in waiting if item[1]]
         self._observe_batch_demand(waiting, now)
+        self._begin_isolation(now)
+        waiting = [part for item in waiting for part in self._split_suspects(*item)]
         fleets = Fleets(self._state, now)
         failed_placements = FailedPlacements()
         ranked_steps = self._rank_waiting(waiting, fleets, now)
@@ -117,26 +121,73 @@
             if loop.time() - now > MAX_ROUND_SECONDS:
                 self._counts.steps_not_reached += len(ranked_steps) - reached
                 return False
-            if step.key in self._refused_steps:
+            is_suspect = self._isolation.is_suspect(tasks)
+            if (step.key, is_suspect) in self._refused_steps:
                 continue
             service = self._service_of(step.job.queue)
             fleet = fleets.for_service(service)
+            if is_suspect:
+                if not self._place_suspects(step, tasks, fleet, now):
+                    self._refused_steps.add((step.key, is_suspect))
+                continue
+            fleet = fleet._replace(
+                candidates=self._isolation.candidates_for_others(fleet.candidates)
+            )
             if self._needs_advice(step):
-                allowed = self._allowed_candidates(step, fleet.candidates, now)
-                min_speed = self._min_speed(step, tasks, fleet, now)
-                allowed_fleet = fleet._replace(candidates=allowed)
-                self._place(step, tasks, allowed_fleet, min_speed, now)
+                self._place_allowed(step, tasks, fleet, now)
                 continue
             min_speed = self._min_speed(step, tasks, fleet, now)
             if failed_placements.covers(service, step.spec, min_speed):
                 continue
             if not self._place(step, tasks, fleet, min_speed, now):
-                self._refused_steps.add(step.key)
+                self._refused_steps.add((step.key, is_suspect))
                 fits_somewhere = fleet.fits(step.spec)
                 failed_placements.add(service, step.spec, min_speed, fits_somewhere)
         self._refused_steps.clear()
         return True
 
+    def _begin_isolation(self, now: float) -> None:
+        run_by_task_by_worker = {
+            link.worker: link.run_by_task for link in self._state.links
+        }
+        suspects = self._state.job_tracker.suspect_by_id
+        self._isolation.begin_round(suspects, run_by_task_by_worker, now)
+
+    def _split_suspects(
+        self, step: StepProgress, tasks: list[Task]
+    ) -> list[tuple[StepProgress, list[Task]]]:
+        """Return the suspects of a step apart from its other tasks; a gang is whole."""
+        if step.spec.gang:
+            return [(step, tasks)]
+        return [(step, part) for part in self._isolation.split(tasks)]
+
+    def _place_suspects(
+        self, step: StepProgress, tasks: list[Task], fleet: Fleet, now: float
+    ) -> bool:
+        """Place a suspect, or a gang with suspects, apart from other new runs.
+
+        A gang that finds too few such workers is placed like any other: waiting for
+        several workers at the same time might take forever.
+        """
+        free = self._isolation.candidates_for_suspect(tasks[0], fleet.candidates)
+        if self._place_allowed(step, tasks, fleet._replace(candidates=free), now):
+            return True
+        if not step.spec.gang:
+            self._isolation.reserve(tasks[0], step.spec, fleet.candidates)
+            return False
+        others = self._isolation.candidates_for_others(fleet.candidates)
+        return self._place_allowed(step, tasks, fleet._replace(candidates=others), now)
+
+    def _place_allowed(
+        self, step: StepProgress, tasks: list[Task], fleet: Fleet, now: float
+    ) -> bool:
+        """Place tasks of a step on the workers that the policy allows, if asked."""
+        min_speed = self._min_speed(step, tasks, fleet, now)
+        if self._needs_advice(step):
+            allowed = self._allowed_candidates(step, fleet.candidates, now)
+            fleet = fleet._replace(candidates=allowed)
+        return self._place(step, tasks, fleet, min_speed, now)
+
     def _ready_steps(self, unix_ms: float) -> list[StepProgress]:
         """Return the ready steps of all jobs; a job that raises an error is set aside.
 
@@ -282,6 +333,7 @@
                 speed = self._state.colocation.speed_of(link, step.spec)
                 context.speed_by_worker[link.worker] = speed
             chooser.record_placement()
+            self._isolation.record_placement(link.worker, task.id)
             chosen.append((task, run, link))
         if step.spec.gang and len(chosen) < len(tasks):
             for _, run, link in chosen:
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -45,6 +45,7 @@
 PLANNING_PAUSE_RATIO = 2.0  # so that planning takes at most a third of the time
 FEED_WAIT_SECONDS = 1.0
 TICK_SECONDS = 0.1
+MAX_LOGGED_SUSPECTS = 20
 MAX_FIRST_CONTACTS = 64  # workers that are connected to at the same time
 MILLISECONDS_PER_SECOND = 1000
 NO_CAPACITY = Resources(0, 0, 0)
@@ -311,6 +312,69 @@
         self._state.job_tracker.remove_if_idle(step.job)
         self.wake()
 
+    def on_crash(self, link: WorkerLink, suspects: list[Run]) -> None:
+        """Count the crash of a worker against the tasks that may have caused it."""
+        is_attributed = len(suspects) == 1
+        self._counters.increment("worker.crashed")
+        log.warning(
+            "worker has crashed",
+            extra={
+                "worker": link.worker,
+                "suspects": [str(run.task) for run in suspects[:MAX_LOGGED_SUSPECTS]],
+                "suspect_count": len(suspects),
+                "attributed": is_attributed,
+            },
+        )
+        for run in suspects:
+            self._suspect(link, run, is_attributed)
+        self.wake()
+
+    def _suspect(self, link: WorkerLink, run: Run, is_attributed: bool) -> None:
+        """Count a crash against the task of a run, and give it up if it has enough."""
+        found = self._state.job_tracker.find_task(run.task)
+        if found is None:
+            return
+        step, task = found
+        if task.done or task.run != run.number or step.job.status.is_terminal:
+            return
+        self._counters.increment("task.crash_suspected")
+        self._state.job_tracker.record_crash(step, task, link.worker, is_attributed)
+        if not task.crashes.is_given_up:
+            return
+        self._counters.increment("task.given_up_after_crashes")
+        log.warning(
+            "task is given up",
+            extra={
+                "job": run.task.job,
+                "task": str(run.task),
+                "run": run.number,
+                "worker": link.worker,
+                "crashes": task.crashes.suspected,
+                "attributed": task.crashes.attributed,
+            },
+        )
+        self._finish(step.job, JobStatus.FAILED)
+        self._state.job_tracker.remove_if_idle(step.job)
+
+    def on_probation_passed(self, link: WorkerLink, run: Run) -> None:
+        """Clear the task of a run that did not crash its worker."""
+        if run.task not in self._state.job_tracker.suspect_by_id:
+            return
+        found = self._state.job_tracker.find_task(run.task)
+        if found is None or found[1].run != run.number:
+            return
+        self._state.job_tracker.clear_suspicion(*found)
+        log.info(
+            "task is cleared",
+            extra={
+                "job": run.task.job,
+                "task": str(run.task),
+                "run": run.number,
+                "worker": link.worker,
+            },
+        )
+        self.wake()
+
     def on_started(self, link: WorkerLink, run: Run) -> None:
         """Throttle new backfill at once if the services on the worker require it."""
         if not run.spec.backfill:
--- a/savorydale/tests/jobs/rows_tests.py
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -27,6 +27,7 @@
     encode_summary,
     encode_tail_fit,
 )
+from savorydale.placement.crashes import CrashCounts
 from savorydale.placement.interference import INTERCEPT, TailFit
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 1, 2, 1.5, 250.0, True)
@@ -50,6 +51,19 @@
     assert decode_step(encode_step(rows)) == rows
 
 
+def test_crashes_are_stored_only_if_there_are_any():
+    row = TaskRow(False, 2, 1, "w1", "cp")
+    suspect = row._replace(crashes=CrashCounts(2, 1))
+    assert decode_step(encode_step([row, suspect])) == [row, suspect]
+    assert encode_step([row, suspect]) == b'[[0,2,1,"w1","cp"],[0,2,1,"w1","cp",2,1]]'
+
+
+@pytest.mark.parametrize("crashes", ['"x"', "1,[]", "1,1,1"])
+def test_malformed_crashes_are_rejected(crashes):
+    with pytest.raises(RowFormatError):
+        decode_step(f'[[0,2,1,"w1","cp",{crashes}]]'.encode())
+
+
 def test_runs_of_a_done_task_are_not_stored():
     stored = encode_step([TaskRow(True, 2, 1, "", "cp")])
     assert decode_step(stored) == [TaskRow(True, 1, 0, "", "")]
--- /dev/null
+++ b/savorydale/tests/placement/crashes_tests.py
@@ -0,0 +1,64 @@
+"""Which runs may have crashed a worker, and when a task is given up."""
+
+import pytest
+
+from savorydale.jobs.model import StepSpec, TaskId
+from savorydale.orders.runs import Run, RunState
+from savorydale.placement.crashes import (
+    PROBATION_SECONDS,
+    CrashCounts,
+    find_suspects,
+    has_passed_probation,
+)
+
+
+def make_run(index=0, **values):
+    values = {"state": RunState.ACTIVE, "start_sent_at": 0.0, **values}
+    return Run(TaskId("j", 0, 0, index), 1, StepSpec(1), 0.0, **values)
+
+
+@pytest.mark.parametrize(
+    ("suspected", "attributed", "is_given_up"),
+    [(0, 0, False), (1, 1, False), (2, 2, True), (3, 1, False), (4, 0, True)],
+)
+def test_task_is_given_up_after_two_attributed_or_four_crashes(
+    suspected, attributed, is_given_up
+):
+    assert CrashCounts(suspected, attributed).is_given_up is is_given_up
+
+
+def test_crash_is_added_to_the_counts():
+    assert CrashCounts().add_crash(False) == CrashCounts(1, 0)
+    assert CrashCounts(1, 0).add_crash(True) == CrashCounts(2, 1)
+    assert CrashCounts(1, 0).is_suspect
+    assert not CrashCounts().is_suspect
+
+
+@pytest.mark.parametrize(
+    ("state", "listed_after", "has_passed"),
+    [
+        (RunState.ACTIVE, PROBATION_SECONDS, True),
+        (RunState.ACTIVE, PROBATION_SECONDS - 0.01, False),
+        (RunState.UNKNOWN, 2 * PROBATION_SECONDS, False),
+        (RunState.ASSIGNED, 2 * PROBATION_SECONDS, False),
+    ],
+)
+def test_run_passes_probation_when_a_later_list_shows_it(
+    state, listed_after, has_passed
+):
+    run = make_run(state=state, confirmed_at=10.0)
+    assert has_passed_probation(run, 10.0 + listed_after) is has_passed
+
+
+def test_suspects_are_the_runs_on_probation_that_may_have_started():
+    accepted = make_run(0)
+    unanswered = make_run(1, state=RunState.UNKNOWN)
+    proven = make_run(2, passed_probation=True)
+    not_sent = make_run(3, state=RunState.ASSIGNED, start_sent_at=None)
+    counted_before = make_run(4, was_suspected=True)
+    runs = [accepted, unanswered, proven, not_sent, counted_before]
+    assert find_suspects(runs) == [accepted, unanswered]
+
+
+def test_nobody_is_blamed_if_no_run_is_on_probation():
+    assert find_suspects([make_run(passed_probation=True)]) == []
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -30,7 +30,12 @@
     decode_configuration,
     decode_worker,
 )
-from savorydale.platform.http import HttpReply, NoReplyError, NotSentError
+from savorydale.platform.http import (
+    ConnectionRefused,
+    HttpReply,
+    NoReplyError,
+    NotSentError,
+)
 from savorydale.platform.store import PlatformStore
 from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
@@ -169,6 +174,7 @@
         (HttpReply(503, {}), Refused(RefusalReason.UNHEALTHY, "status 503")),
         (HttpReply(421, {}), Refused(RefusalReason.OTHER_INCARNATION, "status 421")),
         (NotSentError("x"), Refused(RefusalReason.UNREACHABLE, "x")),
+        (ConnectionRefused("x"), Refused(RefusalReason.NOT_LISTENING, "x")),
         (NoReplyError("x"), Unanswered("x")),
         (HttpReply(500, {}), Unanswered("status 500")),
     ],
