Crash workers by tasks in the branch soak

Cause: the soak had no tasks that crash their workers. Change: one task of 200 crashes each worker that starts it; on even seeds the worker is back under a new identifier.

--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -87,11 +87,12 @@
         server = branch.server_at(address)
         if server is None:
             raise ConnectionRefused("connection refused")
-        if isinstance(server, TaskWorkerStandin) and server.worker != target:
+        if not _is_target(server, target):
             return HttpReply(421, {})
         body = json.loads(json.dumps(body)) if body is not None else None
         if branch.rng.random() < faults.late_order_probability:
-            branch.spawn(self._execute_late(server, method, path, params, body, faults))
+            late_order = (method, path, params, body)
+            branch.spawn(self._execute_late(server, late_order, target, faults))
             await asyncio.sleep(NO_REPLY_SECONDS)
         reply = await self._handle(server, method, path, params, body)
         await asyncio.sleep(faults.reply_delay_seconds)
@@ -107,13 +108,19 @@
             raise NoReplyError("connection reset")
         return reply
 
-    async def _execute_late(self, server, method, path, params, body, faults):
+    async def _execute_late(self, server, late_order, target, faults):
         await asyncio.sleep(
             faults.late_order_seconds * self._branch.rng.uniform(0.3, 1.5)
         )
         if isinstance(server, TaskWorkerStandin) and not server.is_up:
             return
-        await server.handle(method, path, params, body)
+        if _is_target(server, target):
+            await server.handle(*late_order)
+
+
+def _is_target(server: object, target: str) -> bool:
+    """Return whether a server is the store, or the worker that is meant."""
+    return not isinstance(server, TaskWorkerStandin) or server.worker == target
 
 
 class Branch:
@@ -171,8 +178,11 @@
 
     async def _bring_back(self, name: str) -> None:
         """Start a crashed worker again, maybe under a new identifier."""
-        await asyncio.sleep(CRASHED_SECONDS)
         worker = self.worker_by_name[name]
+        incarnation = worker.incarnation
+        await asyncio.sleep(CRASHED_SECONDS)
+        if worker.is_up or worker.incarnation != incarnation:
+            return  # a fault of the test has changed it meanwhile, and brings it back
         if self.renames_crashed_workers:
             self.store.delete("servers", worker.worker)
             worker.worker = f"{name}-{worker.incarnation}"
--- a/savorydale/tests/branch_soak.py
+++ b/savorydale/tests/branch_soak.py
@@ -25,6 +25,7 @@
 SETTLE_SECONDS = 60.0
 SUBMIT_INTERVAL_SECONDS = 0.6
 CANCEL_PROBABILITY = 0.1
+DEADLY_PROBABILITY = 0.005  # of each task; a job has several
 
 
 class SoakResult(NamedTuple):
@@ -33,6 +34,7 @@
     faults: int
     jobs: int
     starts: int
+    crashes: int
     violations: list[str]
 
 
@@ -63,7 +65,8 @@
         await self._check_final_state()
         violations = self.branch.checker.violations
         starts = self.branch.checker.starts.total()
-        return SoakResult(self.faults, len(self.accepted), starts, violations)
+        crashes = self.branch.checker.crashes.total()
+        return SoakResult(self.faults, len(self.accepted), starts, crashes, violations)
 
     # Jobs
 
@@ -244,13 +247,14 @@
 async def run_seed(seed: int) -> SoakResult:
     """Run one seed."""
     async with open_branch(
-        make_plan(seed),
+        make_plan(seed, DEADLY_PROBABILITY),
         ENTRY_COUNT,
         WORKER_COUNT,
         seed,
         asserts_no_violations=False,
         attempts=3,
     ) as branch:
+        branch.renames_crashed_workers = seed % 2 == 0
         return await Soak(branch, seed).run()
 
 
@@ -261,17 +265,21 @@
     parser.add_argument("--seeds", type=int, default=1)
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
-    failed = faults = starts = 0
+    failed = faults = starts = crashes = 0
     for seed in range(options.seed, options.seed + options.seeds):
         result = run_seed(seed)
         faults += result.faults
         starts += result.starts
+        crashes += result.crashes
         failed += bool(result.violations)
         if result.violations:
             print(f"seed {seed}: {len(result.violations)} violations")
             for text in result.violations[:5]:
                 print(f"  {text}")
-    print(f"{options.seeds} seeds, {faults} faults, {starts} starts, {failed} failed")
+    print(
+        f"{options.seeds} seeds, {faults} faults, {starts} starts, "
+        f"{crashes} crashes by tasks, {failed} failed"
+    )
     return 1 if failed else 0
 
 
--- a/savorydale/tests/random_jobs.py
+++ b/savorydale/tests/random_jobs.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 
 from savorydale.jobs.model import StepSpec
-from standins.task_worker import Plan
+from standins.task_worker import CRASH, Plan
 
 FAILURE_PROBABILITY = 0.03
+CRASH_SECONDS = 0.01
 
 
 def random_steps(rng: random.Random) -> list[StepSpec]:
@@ -27,10 +28,15 @@
     return steps
 
 
-def make_plan(seed: int) -> Callable[[str, int], Plan]:
-    """Return a function that plans runs; a seed always gives the same plans."""
+def make_plan(seed: int, deadly_probability: float = 0.0) -> Callable[[str, int], Plan]:
+    """Return a function that plans runs; a seed always gives the same plans.
+
+    ``deadly_probability`` is the share of tasks that crash each worker.
+    """
 
     def plan(task: str, run: int) -> Plan:
+        if random.Random(f"{seed}/{task}").random() < deadly_probability:
+            return Plan(CRASH_SECONDS, CRASH)
         rng = random.Random(f"{seed}/{task}/{run}")
         outcome = "failed" if rng.random() < FAILURE_PROBABILITY else "done"
         return Plan(rng.uniform(0.1, 2.0), outcome)
