Clear isolated runs sooner, and filter candidates only where needed

Cause: an isolated run passed its probation up to two waits of a renewal late, while it held up others; each waiting step filtered the candidates even if it was skipped. Change: the list is requested when it may clear an isolated run; candidates are filtered after the steps that are skipped.

--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -30,7 +30,8 @@
     last found to be allowed more than a minimal speed, or not to be active.
     ``start_sent_at`` is ``None`` if the worker certainly never had the run. A run has
     passed its probation once its worker did not crash soon after the start.
-    ``was_suspected`` tells whether it was one of the suspects of a crash.
+    ``was_suspected`` tells whether it was one of the suspects of a crash, and
+    ``is_isolated`` whether its task was when it was assigned.
     """
 
     task: TaskId
@@ -52,6 +53,7 @@
     start_sent_at: float | None = None
     passed_probation: bool = False
     was_suspected: bool = False
+    is_isolated: bool = False
 
     def record_progress(self, percent: float, now: float) -> None:
         """Record how much of the work is done."""
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -32,7 +33,11 @@
 from savorydale.orders.lease_clock import LeaseClock
 from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
-from savorydale.placement.crashes import find_suspects, has_passed_probation
+from savorydale.placement.crashes import (
+    find_suspects,
+    has_passed_probation,
+    seconds_to_clearance,
+)
 
 RENEW_RETRY_SECONDS = 0.1
 MIN_RENEW_TIMEOUT_SECONDS = 0.5
@@ -240,11 +245,10 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         token = self._token
-        immediately = self._polls_immediately or bool(self._unresolved_runs())
         order = RenewOrder(
             self._number_to_acknowledge(),
             self._next_lease_end_ms(),
-            0 if immediately else self.renew_wait_ms,
+            self._wait_ms(sent_at),
             self._renew_timeout_seconds,
         )
         self._polls_immediately = True
@@ -275,6 +279,15 @@
         self._drop_lapsed_runs(loop.time())
         await asyncio.sleep(RENEW_RETRY_SECONDS)
 
+    def _wait_ms(self, now: float) -> int:
+        """Return how long the worker may wait before it responds."""
+        if self._polls_immediately or self._unresolved_runs():
+            return 0
+        seconds = seconds_to_clearance(self.run_by_task.values(), now)
+        if seconds is None:
+            return self.renew_wait_ms
+        return min(self.renew_wait_ms, math.ceil(seconds * MILLISECONDS_PER_SECOND))
+
     async def _send_renewal(self, token: int, order: RenewOrder) -> RenewOutcome:
         if self.last_contact_at is not None:
             return await self._orders.renew(self._target(token), order)
--- a/savorydale/placement/crashes.py
+++ b/savorydale/placement/crashes.py
@@ -55,6 +55,19 @@
     return listed_at - run.confirmed_at >= PROBATION_SECONDS
 
 
+def seconds_to_clearance(runs: Iterable[Run], now: float) -> float | None:
+    """Return when the next list may clear an isolated run, ``None`` if there is none.
+
+    Isolated runs hold up others, so the list is requested as soon as it may clear one.
+    """
+    ends_at = [
+        run.confirmed_at + PROBATION_SECONDS
+        for run in runs
+        if run.is_isolated and not run.passed_probation and run.state is RunState.ACTIVE
+    ]
+    return max(0.0, min(ends_at) - now) if ends_at else None
+
+
 def find_suspects(runs: Iterable[Run]) -> list[Run]:
     """Return the runs of a crashed worker that may have caused the crash."""
     return [run for run in runs if _is_suspect(run)]
--- a/savorydale/placement/isolation.py
+++ b/savorydale/placement/isolation.py
@@ -91,6 +91,8 @@
         if not self._suspects:
             return candidates
         held = self._held_workers(None)
+        if not held:
+            return candidates
         return [candidate for candidate in candidates if candidate.worker not in held]
 
     def candidates_for_suspect(
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -130,15 +130,13 @@
                 if not self._place_suspects(step, tasks, fleet, now):
                     self._refused_steps.add((step.key, is_suspect))
                 continue
-            fleet = fleet._replace(
-                candidates=self._isolation.candidates_for_others(fleet.candidates)
-            )
             if self._needs_advice(step):
-                self._place_allowed(step, tasks, fleet, now)
+                self._place_allowed(step, tasks, self._open_to_others(fleet), now)
                 continue
             min_speed = self._min_speed(step, tasks, fleet, now)
             if failed_placements.covers(service, step.spec, min_speed):
                 continue
+            fleet = self._open_to_others(fleet)
             if not self._place(step, tasks, fleet, min_speed, now):
                 self._refused_steps.add((step.key, is_suspect))
                 fits_somewhere = fleet.fits(step.spec)
@@ -175,8 +173,12 @@
         if not step.spec.gang:
             self._isolation.reserve(tasks[0], step.spec, fleet.candidates)
             return False
-        others = self._isolation.candidates_for_others(fleet.candidates)
-        return self._place_allowed(step, tasks, fleet._replace(candidates=others), now)
+        return self._place_allowed(step, tasks, self._open_to_others(fleet), now)
+
+    def _open_to_others(self, fleet: Fleet) -> Fleet:
+        """Return the fleet without the workers that are held for suspects."""
+        candidates = self._isolation.candidates_for_others(fleet.candidates)
+        return fleet._replace(candidates=candidates)
 
     def _place_allowed(
         self, step: StepProgress, tasks: list[Task], fleet: Fleet, now: float
@@ -326,6 +328,7 @@
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
+            run.is_isolated = task.crashes.is_suspect
             link.reserve(run)
             context.count_by_worker[link.worker] += 1
             if step.spec.backfill:
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -163,5 +163,6 @@
             if not task.worker:
                 continue
             run = Run(task.id, task.run, step.spec, now)
+            run.is_isolated = task.crashes.is_suspect
             run.stop_requested = job.status.is_terminal
             runs_by_worker.setdefault(task.worker, []).append(run)
--- a/savorydale/tests/placement/crashes_tests.py
+++ b/savorydale/tests/placement/crashes_tests.py
@@ -9,6 +9,7 @@
     CrashCounts,
     find_suspects,
     has_passed_probation,
+    seconds_to_clearance,
 )
 
 
@@ -50,6 +51,18 @@
     assert has_passed_probation(run, 10.0 + listed_after) is has_passed
 
 
+def test_next_list_is_due_when_it_may_clear_an_isolated_run():
+    isolated = make_run(0, is_isolated=True, confirmed_at=10.0)
+    later = make_run(1, is_isolated=True, confirmed_at=10.5)
+    ordinary = make_run(2, confirmed_at=9.0)
+    cleared = make_run(3, is_isolated=True, passed_probation=True)
+    unknown = make_run(4, is_isolated=True, state=RunState.UNKNOWN)
+    runs = [ordinary, later, cleared, unknown]
+    assert seconds_to_clearance([*runs, isolated], 10.2) == pytest.approx(0.8)
+    assert seconds_to_clearance([isolated], 12.0) == 0.0
+    assert seconds_to_clearance([ordinary, cleared, unknown], 10.2) is None
+
+
 def test_suspects_are_the_runs_on_probation_that_may_have_started():
     accepted = make_run(0)
     unanswered = make_run(1, state=RunState.UNKNOWN)
