Place a gang with a suspect where its members were tried in isolation

Cause: members of a gang that did not all fit on workers without runs on probation were counted as placed there, so those workers took no part in the second attempt. Change: a placement is recorded once the whole gang has its workers.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -336,7 +336,6 @@
                 speed = self._state.colocation.speed_of(link, step.spec)
                 context.speed_by_worker[link.worker] = speed
             chooser.record_placement()
-            self._isolation.record_placement(link.worker, task.id)
             chosen.append((task, run, link))
         if step.spec.gang and len(chosen) < len(tasks):
             for _, run, link in chosen:
@@ -345,6 +344,7 @@
         if step.spec.gang:
             self._align_gang(chosen)
         for task, run, link in chosen:
+            self._isolation.record_placement(link.worker, task.id)
             self._assign(step, task, run, link)
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
--- a/savorydale/tests/scheduler/planner_tests.py
+++ b/savorydale/tests/scheduler/planner_tests.py
@@ -150,3 +150,53 @@
             fixture.planner.plan()
             starts += fixture.planner.take_starts()
     assert len(starts) == BACKFILL.task_count
+
+
+def suspect(fixture, job, index=0):
+    """Make a task of a job a suspect of a crash."""
+    [step] = job.steps_of(0)
+    fixture.state.job_tracker.record_crash(step, step.tasks[index], "w9", False)
+    return step.tasks[index].id
+
+
+def clear_runs(fixture, *workers):
+    for worker in workers:
+        for run in fixture.state.link_by_worker[worker].run_by_task.values():
+            run.passed_probation = True
+
+
+@on_virtual_time
+async def test_suspect_is_placed_apart_from_the_other_tasks_of_its_step():
+    fixture = PlannerFixture(workers=4)
+    clear_runs(fixture, "w0", "w1", "w2")
+    job = fixture.submit("j", StepSpec(6, 2000, 1000, estimate_ms=500))
+    task = suspect(fixture, job, index=3)
+    starts = await fixture.plan(0.1)
+    worker_by_task = {start.run.task: start.link.worker for start in starts}
+    others = {worker for other, worker in worker_by_task.items() if other != task}
+    assert len(worker_by_task) == 6
+    assert worker_by_task[task] not in {*others, "w3"}
+    assert [start.run.task for start in starts if start.run.is_isolated] == [task]
+
+
+@on_virtual_time
+async def test_waiting_suspect_holds_up_no_other_task_for_good():
+    fixture = PlannerFixture(workers=1)
+    job = fixture.submit("j", StepSpec(1, 2000, 1000, estimate_ms=500))
+    suspect(fixture, job)
+    fixture.submit("k", StepSpec(1, 2000, 1000, estimate_ms=500))
+    starts = await fixture.plan(8)
+    assert [start.run.task.job for start in starts] == ["k"]
+    clear_runs(fixture, "w0")
+    starts = await fixture.plan(0.1)
+    assert [start.run.task.job for start in starts] == ["j"]
+
+
+@on_virtual_time
+async def test_gang_with_a_suspect_is_placed_without_enough_workers_for_isolation():
+    fixture = PlannerFixture(workers=2)
+    clear_runs(fixture, "w0")
+    gang = StepSpec(2, 20_000, 1000, estimate_ms=500, gang=True)
+    suspect(fixture, fixture.submit("j", gang))
+    starts = await fixture.plan(0.1)
+    assert sorted(start.link.worker for start in starts) == ["w0", "w1"]
