Count the crash of an isolated run that the last holder did not store

Change: the row also holds the run that was counted last; a new holder that is refused by a worker counts the crash against the isolated runs there that were not counted.

--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -155,7 +155,7 @@
         self, step: StepProgress, task: Task, worker: str, is_attributed: bool
     ) -> None:
         """Record that ``worker`` crashed, maybe because of ``task``."""
-        task.crashes = task.crashes.add_crash(is_attributed)
+        task.crashes = task.crashes.add_crash(task.run, is_attributed)
         task.excluded_workers |= {worker}
         self.suspect_by_id[task.id] = task
         self._changed_steps[step.key] = step
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -393,15 +393,23 @@
     def _on_incarnation_gone(self) -> None:
         """Handle that the worker's process is not there, or another one is.
 
-        This is a crash unless the worker was about to leave. A worker that has not
-        answered this lease holder may have been gone before.
+        This is a crash unless the worker was about to leave. If it has not answered
+        this lease holder, an earlier one may have counted the crash, and which runs had
+        passed their probation is unknown: only isolated runs are suspects then.
         """
         self.last_contact_at = None  # no more starts before it answers again
-        if self._is_incarnation_gone or self.born_ms is None:
+        if self._is_incarnation_gone:
             return
         self._is_incarnation_gone = True
-        if self._is_in_service:
-            self._record_crash(list(self.run_by_task.values()))
+        if not self._is_in_service:
+            return
+        runs = list(self.run_by_task.values())
+        if self.born_ms is not None:
+            self._record_crash(runs)
+            return
+        isolated = [run for run in runs if run.is_isolated and not run.was_suspected]
+        if isolated:
+            self._record_crash(isolated)
 
     def _check_restart(self, renewed: Renewed, sent_at: float) -> None:
         """Record a crash if the worker was restarted without a longer silence.
--- a/savorydale/placement/crashes.py
+++ b/savorydale/placement/crashes.py
@@ -19,11 +19,13 @@
 class CrashCounts(NamedTuple):
     """How many workers crashed with a task among the suspects.
 
-    ``attributed`` counts those crashes of which it was the only suspect.
+    ``attributed`` counts those crashes of which it was the only suspect. ``run`` is the
+    number of the run that was counted last, so that a new lease holder counts it once.
     """
 
     suspected: int = 0
     attributed: int = 0
+    run: int = 0
 
     @property
     def is_suspect(self) -> bool:
@@ -37,9 +39,9 @@
             self.attributed >= MAX_ATTRIBUTED_CRASHES or self.suspected >= MAX_CRASHES
         )
 
-    def add_crash(self, is_attributed: bool) -> "CrashCounts":
+    def add_crash(self, run: int, is_attributed: bool) -> "CrashCounts":
         """Return the counts after one more crash."""
-        return CrashCounts(self.suspected + 1, self.attributed + is_attributed)
+        return CrashCounts(self.suspected + 1, self.attributed + is_attributed, run)
 
 
 NO_CRASHES = CrashCounts()
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -164,5 +164,6 @@
                 continue
             run = Run(task.id, task.run, step.spec, now)
             run.is_isolated = task.crashes.is_suspect
+            run.was_suspected = run.is_isolated and task.crashes.run == run.number
             run.stop_requested = job.status.is_terminal
             runs_by_worker.setdefault(task.worker, []).append(run)
--- a/savorydale/tests/crashing_tasks_tests.py
+++ b/savorydale/tests/crashing_tasks_tests.py
@@ -121,6 +121,28 @@
         assert branch.checker.starts[deadly] <= MAX_CRASHES
 
 
+@pytest.mark.parametrize(
+    ("counted_run", "is_given_up"), [(1, True), (2, False)], ids=["unseen", "counted"]
+)
+@on_virtual_time
+async def test_new_holder_counts_the_crash_of_an_isolated_run_once(
+    counted_run, is_given_up
+):
+    async with open_branch(make_plan(), entries=1) as branch:
+        await branch.kill_entry("e0")
+        queue = QueueSettings("q1", "desk.example", "/q1/", "desk", max_attempts=2)
+        row = encode_job(JobRow(JobSpec("x", (TASK,)), queue, 0))
+        task = TaskRow(False, 2, 0, "w0", "", CrashCounts(1, 1, counted_run))
+        state = encode_state(StateRow("q1", JobStatus.RUNNING))
+        branch.store.put("states", DEADLY_JOB, state)
+        branch.store.put("steps", f"{DEADLY_JOB}.0.0", encode_step([task]))
+        branch.store.put("jobs", DEADLY_JOB, row)
+        branch.worker_by_name["w0"].crash(restarts=False)
+        branch.start_entry("e0")
+        status = JobStatus.FAILED if is_given_up else JobStatus.COMPLETED
+        await branch.wait_for_status("e0", DEADLY_JOB, status, 20)
+
+
 @pytest.mark.parametrize("spec", [TASK, TASK._replace(long_running=True)])
 @on_virtual_time
 async def test_new_holder_fails_a_job_whose_task_was_given_up(spec):
@@ -128,7 +150,7 @@
         await branch.kill_entry("e0")
         queue = QueueSettings("q1", "desk.example", "/q1/", "desk", max_attempts=2)
         row = encode_job(JobRow(JobSpec("x", (spec,)), queue, 0))
-        task = TaskRow(False, 2, 0, "", "", CrashCounts(2, 2))
+        task = TaskRow(False, 2, 0, "", "", CrashCounts(2, 2, 2))
         state = encode_state(StateRow("q1", JobStatus.RUNNING))
         branch.store.put("states", DEADLY_JOB, state)
         branch.store.put("steps", f"{DEADLY_JOB}.0.0", encode_step([task]))
@@ -149,11 +171,11 @@
         worker.crash(restarts=False)
         await asyncio.sleep(0.5)
         [stored] = decode_step(branch.store.value("steps", key))
-        assert stored.crashes == CrashCounts(1, 1)
+        assert stored.crashes == CrashCounts(1, 1, 1)
         worker.is_up = True
         await asyncio.sleep(5)
         [stored] = decode_step(branch.store.value("steps", key))
-        assert stored.crashes == CrashCounts(0, 0)
+        assert stored.crashes == CrashCounts()
         assert branch.checker.running_task_count(SERVICE_JOB) == 1
 
 
--- a/savorydale/tests/jobs/rows_tests.py
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -53,12 +53,13 @@
 
 def test_crashes_are_stored_only_if_there_are_any():
     row = TaskRow(False, 2, 1, "w1", "cp")
-    suspect = row._replace(crashes=CrashCounts(2, 1))
-    assert decode_step(encode_step([row, suspect])) == [row, suspect]
-    assert encode_step([row, suspect]) == b'[[0,2,1,"w1","cp"],[0,2,1,"w1","cp",2,1]]'
+    suspect = row._replace(crashes=CrashCounts(2, 1, 2))
+    stored = encode_step([row, suspect])
+    assert decode_step(stored) == [row, suspect]
+    assert stored == b'[[0,2,1,"w1","cp"],[0,2,1,"w1","cp",2,1,2]]'
 
 
-@pytest.mark.parametrize("crashes", ['"x"', "1,[]", "1,1,1"])
+@pytest.mark.parametrize("crashes", ['"x"', "1,[]", "1,1,1,1"])
 def test_malformed_crashes_are_rejected(crashes):
     with pytest.raises(RowFormatError):
         decode_step(f'[[0,2,1,"w1","cp",{crashes}]]'.encode())
--- a/savorydale/tests/placement/crashes_tests.py
+++ b/savorydale/tests/placement/crashes_tests.py
@@ -29,8 +29,8 @@
 
 
 def test_crash_is_added_to_the_counts():
-    assert CrashCounts().add_crash(False) == CrashCounts(1, 0)
-    assert CrashCounts(1, 0).add_crash(True) == CrashCounts(2, 1)
+    assert CrashCounts().add_crash(3, False) == CrashCounts(1, 0, 3)
+    assert CrashCounts(1, 0, 3).add_crash(4, True) == CrashCounts(2, 1, 4)
     assert CrashCounts(1, 0).is_suspect
     assert not CrashCounts().is_suspect
 
--- a/savorydale/tests/platform/fuzz_tests.py
+++ b/savorydale/tests/platform/fuzz_tests.py
@@ -95,7 +95,7 @@
 STATE_ROW = json.loads(encode_state(StateRow("q", JobStatus.RUNNING, 3)))
 TASK_ROW = TaskRow(False, 1, 0, "w", "c")
 STEP_ROW = json.loads(
-    encode_step([TASK_ROW, TASK_ROW, TASK_ROW._replace(crashes=CrashCounts(2, 1))])
+    encode_step([TASK_ROW, TASK_ROW, TASK_ROW._replace(crashes=CrashCounts(2, 1, 1))])
 )
 SUMMARY_ROW = json.loads(encode_summary(SummaryRow(1, 2)))
 TAIL_ROW = [[["a", "b", 1.0]], {"a": 2.0}]
