--- a/savorydale/orders/runs.py
+++ b/savorydale/orders/runs.py
@@ -29,6 +29,10 @@
     never will. ``usage`` is that of the last report; see `ActiveRun`. All times
     ``..._at`` are on the loop's clock. ``last_unstuck_at`` is when a backfill run was
     last found to be allowed more than a minimal speed, or not to be active.
+    ``start_sent_at`` is ``None`` if the worker certainly never had the run. A run has
+    passed its probation once its worker did not crash soon after the start.
+    ``was_suspected`` tells whether it was one of the suspects of a crash, and
+    ``is_isolated`` whether its task was when it was assigned.
     """
 
     task: TaskId
@@ -47,6 +51,10 @@
     requested_percent: int = FULL_SPEED_PERCENT
     usage: float = 0.0
     last_unstuck_at: float = 0.0
+    start_sent_at: float | None = None
+    passed_probation: bool = False
+    was_suspected: bool = False
+    is_isolated: bool = False
 
     @property
     def reserved(self) -> Resources:
