Test that requeued services are placed beside a flow of batch jobs

Cause: no test held the bound while batch jobs wait all the time, or while they fail and their workers are quarantined.

Change: two workers lose their runs beside a steady flow of batch jobs that succeed, or all fail.

--- a/savorydale/tests/service_recovery_tests.py
+++ b/savorydale/tests/service_recovery_tests.py
@@ -69,13 +69,12 @@
 
 
 @contextlib.asynccontextmanager
-async def recovering(processors=EQUAL_PAIR, workers=4, step=SERVICE, seed=1):
+async def recovering(processors=EQUAL_PAIR, workers=4, step=SERVICE, plan=never_ending):
     """Start a service, let the test disturb the branch, then check the bound."""
     async with open_branch(
-        never_ending,
+        plan,
         entries=len(processors),
         workers=workers,
-        seed=seed,
         processor_counts=processors,
     ) as branch:
         for name in list(branch.entry_by_name):  # as entries that can be frozen
@@ -349,6 +348,46 @@
                 path.reply_delay_seconds = 0.0
 
 
+# Requeued, but not placed
+
+
+async def submit_batch_jobs(recovery, seconds):
+    """Submit batch jobs in a steady flow."""
+    loop = asyncio.get_running_loop()
+    end_at = loop.time() + seconds
+    step = StepSpec(4, 1000, 100, estimate_ms=500)
+    number = 0
+    while loop.time() < end_at:
+        job = f"b{number:015x}"
+        recovery.watch.add_job(job, [step])
+        await recovery.branch.submit("e0", job, step)
+        number += 1
+        await asyncio.sleep(0.15)
+
+
+def batch_succeeds(task, run):
+    return Plan(0.5) if task.startswith("b") else Plan(None)
+
+
+def batch_fails(task, run):
+    return Plan(0.5, "failed") if task.startswith("b") else Plan(None)
+
+
+@pytest.mark.parametrize("plan", [batch_succeeds, batch_fails])
+@on_virtual_time
+async def test_tasks_are_back_beside_a_steady_flow_of_batch_jobs(plan):
+    step = SERVICE._replace(task_count=3, cpu_millicores=1500, max_per_worker=1)
+    async with recovering(EQUAL_PAIR, 5, step, plan=plan) as recovery:
+        flow = asyncio.create_task(submit_batch_jobs(recovery, 20.0))
+        await asyncio.sleep(4.0)
+        with recovery.disturbances.disturbed():
+            recovery.branch.worker_by_name["w0"].crash()
+            recovery.branch.worker_by_name["w1"].crash()
+            recovery.branch.register("w0")
+            recovery.branch.register("w1")
+        await flow
+
+
 # A run is not started twice meanwhile
 
 
