Give up a lease under which no registration can be read

Change: after 3 s during which its commits are served and no registration was, its term ends like one whose state cannot be read. A holder that has read them once goes on: it can renew the leases of the workers that it knows.

--- a/savorydale/scheduler/registration_age.py
+++ b/savorydale/scheduler/registration_age.py
@@ -12,6 +12,7 @@
 # A smaller capacity binds 3 s and a heartbeat interval after it was written; a response
 # of the store may be more than a second old when it arrives.
 MAX_AGE_SECONDS = 2.5
+MAX_UNREADABLE_SECONDS = 3.0  # while the store serves this entry's commits
 
 
 class RegistrationAge:
@@ -20,6 +21,7 @@
     def __init__(self) -> None:
         self._read_at: float | None = None
         self._suspended_seconds = 0.0
+        self._unreadable_since: float | None = None
 
     def record_response(self) -> None:
         """Record that all changes of registrations up to now are known."""
@@ -33,3 +35,18 @@
         age_seconds = asyncio.get_running_loop().time() - self._read_at
         age_seconds += suspended_seconds() - self._suspended_seconds
         return age_seconds < MAX_AGE_SECONDS
+
+    def must_give_up(self, is_lease_current: bool) -> bool:
+        """Return whether another entry should schedule instead of this one.
+
+        That is so if the store serves this entry's commits, but has not served its
+        reads of the registrations since the term began. An entry that has read them
+        once can at least renew the leases of the workers that it knows.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._read_at is not None or not is_lease_current:
+            self._unreadable_since = None
+            return False
+        if self._unreadable_since is None:
+            self._unreadable_since = now
+        return now - self._unreadable_since >= MAX_UNREADABLE_SECONDS
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
+from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import Configuration
 from savorydale.jobs.progress import JobProgress, Task
 from savorydale.jobs.rows import JOBS_TABLE, JobStatus, cancel_key
@@ -125,6 +126,8 @@
             In an exception group, if another entry has acquired the lease.
         OverloadedError
             In an exception group, if this VM is too slow.
+        StoreError
+            In an exception group, if the state or the registrations cannot be read.
         """
         async with asyncio.TaskGroup() as group:
             async with self._renewing_lease():
@@ -565,6 +568,8 @@
             slept_at = loop.time()
             await asyncio.sleep(TICK_SECONDS)
             lag_monitor.observe(loop.time() - slept_at - TICK_SECONDS)
+            if self._registration_age.must_give_up(self._lease.is_current()):
+                raise StoreUnreachableError("the registrations cannot be read")
             self._housekeeping.run_due()
             self._load_report.report()
             self._mover.move_runs()
