Stop an earlier run that began late before its task starts again

Cause: a start order that arrives late at a worker which was restarted under its identifier begins an earlier run of a task. The next lease holder restored a later run, took the list that shows the earlier one for a list without it, and started the task a second time. Class: an order that is executed after newer ones. Change: the earlier run is stopped, and the task waits until a list no longer shows it.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -394,11 +394,28 @@
             if run.stop_requested:
                 self._send_stop(run)
             return
+        if active is not None:
+            self._wait_for_other_run(run, active)
+            return
         is_resolved = run.state is RunState.UNKNOWN and token >= run.resolving_token
         is_vanished = run.state is RunState.ACTIVE and run.confirmed_at < sent_at
         if is_resolved or is_vanished:
             self._drop_run(run, "not started" if is_resolved else "vanished")
 
+    def _wait_for_other_run(self, run: Run, active: ActiveRun) -> None:
+        """Stop another run of the same task, whose start order arrived late.
+
+        Until a later list shows that it has ended, ``run`` counts as active, so that
+        the task is not started again.
+        """
+        if run.state is RunState.UNKNOWN:
+            self._confirm(run)
+        now = asyncio.get_running_loop().time()
+        if run.stop_sent_at and now - run.stop_sent_at < STOP_RETRY_SECONDS:
+            return
+        run.stop_sent_at = now
+        self._stop_orphaned_run(active)
+
     def _stop_orphaned_run(self, active: ActiveRun) -> None:
         self._counters.increment("run.stray")
         log.warning(
