Send a throttle again that this entry's own token has fenced

Throttle and stop orders took the fencing token before they waited for an order slot. If a start before them was not answered, the token rose meanwhile, the worker refused the throttle, and its speed was recorded as set: backfill went on at full speed beside services that it slows down. Change: the token is read when the order is sent; a throttle that is fenced all the same counts as failed, so that it is ordered again.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -612,8 +612,8 @@
         self._spawn(self._stop(run.task, run.number))
 
     async def _stop(self, task: TaskId, number: int) -> None:
-        token = self._token
         async with self._order_slots:
+            token = self._token
             outcome = await self._orders.stop(self._target(token), task, number)
         log.info(
             "stop ordered",
@@ -623,16 +623,16 @@
             self._check_fenced(token)
 
     async def _throttle(self, run: Run, percent: int) -> None:
-        token = self._token
         async with self._order_slots:
+            token = self._token
             outcome = await self._orders.throttle(
                 self._target(token), run.task, run.number, percent
             )
+        if isinstance(outcome, Refused) and outcome.reason is RefusalReason.FENCED:
+            self._check_fenced(token)
         match outcome:
             case Accepted():
                 self._counters.increment("throttle.accepted")
-            case Refused(RefusalReason.FENCED):
-                self._check_fenced(token)
             case Refused() | Unanswered():
                 if self.run_by_task.get(run.task) is run:
                     self.load.set_speed(run, UNKNOWN_PERCENT)
@@ -645,12 +645,12 @@
     def _check_fenced(self, token: int) -> None:
         """Give up the lease unless this link itself has raised the token since.
 
-        A newer token of another entry means that this entry has lost the lease.
+        A higher token that is not its own means that another entry has the lease.
         """
         if token < self._token:
             return
         self._failure = LeadershipLostError(
-            f"worker {self.worker} has seen a newer fencing token than {token}"
+            f"worker {self.worker} has seen a higher fencing token than {token}"
         )
 
     # Internal state
--- a/savorydale/tests/orders/worker_link_tests.py
+++ b/savorydale/tests/orders/worker_link_tests.py
@@ -17,7 +17,7 @@
     Unanswered,
     WorkerInfo,
 )
-from savorydale.orders.runs import Run
+from savorydale.orders.runs import UNKNOWN_PERCENT, Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.tests.harness import on_virtual_time
 
@@ -236,3 +236,54 @@
         worker.crash()
         await asyncio.sleep(1)
         assert worker.crashes == [[0]]
+
+
+class LostStarts:
+    """Leaves starts unanswered, so that the token rises, and refuses older tokens."""
+
+    def __init__(self):
+        self.newest_token = 0
+        self.throttled = []
+
+    async def start(self, target, order):
+        await asyncio.sleep(1.0)
+        self.newest_token = target.fencing_token + 1  # as the next renewal shows it
+        return Unanswered("lost")
+
+    async def throttle(self, target, task, run, percent):
+        is_old = target.fencing_token < self.newest_token
+        self.throttled.append(Refused(RefusalReason.FENCED) if is_old else Accepted())
+        return self.throttled[-1]
+
+
+def backfill_run(index):
+    return Run(TaskId("j", 0, 0, index), 1, StepSpec(3, 500, backfill=True), 0.0)
+
+
+@on_virtual_time
+async def test_throttle_that_waited_is_not_sent_with_an_older_token():
+    orders = LostStarts()
+    link = WorkerLink(INFO, orders, Worker(), 1, 6000, Counters())
+    link.last_contact_at = asyncio.get_running_loop().time()
+    link._lease_clock.record_clock(1)
+    link.restore(backfill_run(0))
+    for index in (1, 2):
+        link.reserve(run := backfill_run(index))
+        link.start(run, "", "")
+    link.throttle(link.run_by_task[TaskId("j", 0, 0, 0)], 20)
+    await asyncio.sleep(3.0)
+    assert orders.throttled == [Accepted()]
+
+
+@on_virtual_time
+async def test_throttle_that_the_own_newer_token_fenced_counts_as_failed():
+    orders = LostStarts()
+    link = WorkerLink(INFO, orders, Worker(), 1, 6000, Counters())
+    link.restore(run := backfill_run(0))
+    orders.newest_token = link._token + 1
+    link.throttle(run, 20)
+    await asyncio.sleep(0)
+    link._token += 1  # while the order is on its way
+    await asyncio.sleep(1.0)
+    assert orders.throttled == [Refused(RefusalReason.FENCED)]
+    assert run.requested_percent == UNKNOWN_PERCENT
