--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -69,7 +69,7 @@
     cannot schedule for a large fleet.
 
     An entry that has already scheduled under the lease acquires it anew, with the next
-    epoch: workers may have seen newer fencing tokens than those a new term begins with.
+    epoch: workers may have seen higher fencing tokens than those a new term begins with.
     """
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
@@ -143,6 +143,6 @@
 
 
 def _is_on_same_vm(current: LeaseRow | None, identity: EntryIdentity) -> bool:
-    """Return whether the holder is a terminated incarnation on this entry's VM."""
+    """Return whether the holder is this entry or a terminated one on its VM."""
     holder = current.holder if current is not None else None
     return holder is not None and holder.vm == identity.vm
--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -52,7 +52,8 @@
 class LeaseRow(NamedTuple):
     """Value of the lease row; ``holder`` is ``None`` if no entry schedules.
 
-    ``epoch`` grows with each holder, ``sequence`` with each transaction of a holder.
+    ``epoch`` grows with each holder and with each further term of the same holder,
+    ``sequence`` with each transaction under an epoch.
     """
 
     holder: EntryIdentity | None
--- a/savorydale/tests/frozen_entries.py
+++ b/savorydale/tests/frozen_entries.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import contextvars
 import types
 
@@ -100,9 +99,11 @@
     """Freeze an entry for ``frozen`` seconds again and again, ``awake`` between."""
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
-    with contextlib.suppress(asyncio.CancelledError):
+    try:
         while loop.time() < end_at:
             gate.freeze()
             await asyncio.sleep(frozen)
             gate.thaw()
             await asyncio.sleep(awake)
+    finally:
+        gate.thaw()
--- a/savorydale/tests/service_soak.py
+++ b/savorydale/tests/service_soak.py
@@ -31,6 +31,7 @@
 CALM_SECONDS = 14.0  # between bursts, beyond the longest absence that is allowed
 SETTLE_SECONDS = 20.0
 SERVICE_COUNT = 4
+CANCEL_TIMEOUT_SECONDS = 30.0
 FAILING_SERVICE_PROBABILITY = 0.25
 ATTEMPTS = 1_000_000  # failures of services do not count
 LATE_ORDER_SECONDS = 5.0  # the longest delay of a late order
@@ -141,10 +142,14 @@
         for job in self.services:
             self.watch.unwatch(job)
             self.cancelled.add(job)
-            while await self.branch.status("e0", job) is not JobStatus.CANCELLED:
-                with contextlib.suppress(StoreError):
-                    await self.branch.entry_by_name["e0"].job_store.cancel(job, 2.0)
-                await asyncio.sleep(0.2)
+            async with asyncio.timeout(CANCEL_TIMEOUT_SECONDS):
+                await self._cancel_service(job)
+
+    async def _cancel_service(self, job: str) -> None:
+        while await self.branch.status("e0", job) is not JobStatus.CANCELLED:
+            with contextlib.suppress(StoreError):
+                await self.branch.entry_by_name["e0"].job_store.cancel(job, 2.0)
+            await asyncio.sleep(0.2)
 
     # Faults
 
