--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -69,7 +69,7 @@
     cannot schedule for a large fleet.
 
     An entry that has already scheduled under the lease acquires it anew, with the next
-    epoch: workers may have seen higher fencing tokens than those a new term begins with.
+    epoch: workers may have seen higher fencing tokens than a new term begins with.
     """
     loop = asyncio.get_running_loop()
     observation = LeaseObservation()
