Lose the runs of a worker at once when another incarnation has its address

Callers of a service saw its tasks away for the rest of a lease after their worker had crashed and was back under a new identifier; a new lease holder counted a full lease from its takeover: 9.5 s. Evidence: orders for the old worker are answered by another incarnation, which has the address, so the old process is gone, and orders that arrive late are refused there. Change: such an answer to a renewal ends all runs of the old worker; one whose start order is on its way waits for the answer.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -293,6 +293,8 @@
                 self._counters.increment(f"hold.refused.{reason}")
                 if reason in GONE_REASONS:
                     self._on_incarnation_gone()
+                if reason is RefusalReason.OTHER_INCARNATION:
+                    self._drop_replaced_runs()
                 log.debug(
                     "lease renewal refused",
                     extra=self._extra(reason=reason, detail=detail),
@@ -524,6 +526,17 @@
             return 0
         return self.acknowledged_number
 
+    def _drop_replaced_runs(self) -> None:
+        """Drop the runs of a worker at whose address another incarnation answers.
+
+        The worker's process has ended, and its lease need not be awaited: the other
+        incarnation refuses orders for this one, also those that arrive late.
+        """
+        for run in list(self.run_by_task.values()):
+            if run.state is RunState.RESERVED or run.task in self._tasks_in_flight:
+                continue  # the answer to the start order decides
+            self._drop_run(run, "another incarnation is at the worker's address")
+
     def _drop_lapsed_runs(self, now: float) -> None:
         if self.is_in_contact(now) or now < self._lease_clock.latest_lapse_at():
             return
--- a/savorydale/tests/service_recovery_tests.py
+++ b/savorydale/tests/service_recovery_tests.py
@@ -25,12 +25,13 @@
     Disturbances,
     ServiceWatch,
 )
-from standins.task_worker import Plan
+from standins.task_worker import CRASHED_SECONDS, Plan
 
 JOB = "00000000000000f1"
 SERVICE = StepSpec(6, 500, 100, long_running=True)
 LEASE_SECONDS = LEASE_MAX_MS / 1000
 STORE_GRACE_SECONDS = 2.0  # registrations are back this long after the store
+MAX_TAKEOVER_SECONDS = 4.0  # the lease lapses after 2 s, then others poll and load
 SLOW_STORE_SECONDS = 0.24  # 60 times the usual latency
 EQUAL_PAIR = (1.0, 1.0)
 EQUAL_EIGHT = (1.0,) * 8
@@ -366,6 +367,27 @@
                 await asyncio.sleep(0.5)
 
 
+@pytest.mark.parametrize("kills_holder", [False, True])
+@on_virtual_time
+async def test_tasks_are_back_once_another_worker_is_at_the_address(kills_holder):
+    # Nothing more is to be awaited: the other worker refuses orders for the old one,
+    # whose registration has not lapsed yet.
+    async with recovering() as recovery:
+        branch = recovery.branch
+        branch.renames_crashed_workers = True
+        registration = branch.store.value("servers", "w0")
+        with recovery.disturbances.disturbed():
+            branch.worker_by_name["w0"].crash(restarts=False)
+            branch.spawn(branch._bring_back("w0"))
+            if kills_holder:
+                await branch.kill_entry(recovery.holder)
+            await asyncio.sleep(CRASHED_SECONDS + 0.1)
+            branch.store.put("servers", "w0", registration)
+    takeover_seconds = MAX_TAKEOVER_SECONDS if kills_holder else 0.0
+    max_seconds = max(CRASHED_SECONDS, takeover_seconds) + 1.0
+    assert recovery.watch.longest_seconds <= max_seconds
+
+
 @pytest.mark.parametrize("seconds", [0.6, 1.0, 2.0])
 @on_virtual_time
 async def test_tasks_are_back_from_a_worker_that_answers_slowly(seconds):
