Isolate a suspect of a crash only when more than chance speaks against it

Change: a task starts apart only after a crash of which it was the only suspect, or after its second; it is given up as before.

--- a/savorydale/placement/crashes.py
+++ b/savorydale/placement/crashes.py
@@ -3,7 +3,9 @@
 Answers the load of tasks that crash each worker that starts them, soon after the start:
 each crash ends all that runs on the worker. A run is on probation until its worker has
 shown it active for some time. The runs that are on probation when a worker crashes are
-the suspects; a task is given up when it was the only suspect of several crashes.
+the suspects. Most of them are innocent, so a task starts apart from others only after a
+crash of which it was the only suspect, or after its second: the next one is attributed
+to it, or it is cleared. A task is given up when enough of its crashes are attributed.
 """
 
 from collections.abc import Iterable
@@ -12,6 +14,7 @@
 from savorydale.orders.runs import Run, RunState
 
 PROBATION_SECONDS = 1.0
+MIN_CRASHES_TO_ISOLATE = 2
 MAX_ATTRIBUTED_CRASHES = 2
 MAX_CRASHES = 4  # in all, for tasks that are never the only suspect
 
@@ -29,9 +32,14 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Return whether the task must be started apart from others."""
+        """Return whether the task was among the suspects of a crash."""
         return self.suspected > 0
 
+    @property
+    def must_be_isolated(self) -> bool:
+        """Return whether the task must be started apart from others."""
+        return self.attributed > 0 or self.suspected >= MIN_CRASHES_TO_ISOLATE
+
     @property
     def is_given_up(self) -> bool:
         """Return whether the task must not be started again."""
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -148,7 +148,11 @@
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
         }
-        suspects = self._state.job_tracker.suspect_by_id
+        suspects = {
+            name: task
+            for name, task in self._state.job_tracker.suspect_by_id.items()
+            if task.crashes.must_be_isolated
+        }
         self._isolation.begin_round(suspects, run_by_task_by_worker, now)
 
     def _split_suspects(
@@ -328,7 +332,7 @@
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
-            run.is_isolated = task.crashes.is_suspect
+            run.is_isolated = task.crashes.must_be_isolated
             link.reserve(run)
             context.count_by_worker[link.worker] += 1
             if step.spec.backfill:
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -163,7 +163,9 @@
             if not task.worker:
                 continue
             run = Run(task.id, task.run, step.spec, now)
-            run.is_isolated = task.crashes.is_suspect
-            run.was_suspected = run.is_isolated and task.crashes.run == run.number
+            run.is_isolated = task.crashes.must_be_isolated
+            run.was_suspected = (
+                task.crashes.is_suspect and task.crashes.run == run.number
+            )
             run.stop_requested = job.status.is_terminal
             runs_by_worker.setdefault(task.worker, []).append(run)
