Start no run while an earlier one of its task is on the worker

Cause: found by the review: a planned run whose start order had not been sent was started although a list showed an earlier run of the same task, so it ran twice; and an isolated run that waits for an earlier one let the link ask for lists without a pause. Change: in any state the run waits until a list no longer shows the other; it is not on probation meanwhile. Result: two tests of worker_link_tests.py fail without the change and pass with it; orders, late start, crashing tasks, capacity changes, restarted workers, branch and branch soak tests pass.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -408,10 +408,11 @@
         """Stop another run of the same task, whose start order arrived late.
 
         Until a later list shows that it has ended, ``run`` counts as active, so that
-        the task is not started again.
+        neither it nor a further run of the task is started. It is not on the worker, so
+        it can't have crashed it.
         """
-        if run.state is RunState.UNKNOWN:
-            self._confirm(run)
+        self._confirm(run)
+        run.passed_probation = True
         now = asyncio.get_running_loop().time()
         if run.stop_sent_at and now - run.stop_sent_at < STOP_RETRY_SECONDS:
             return
@@ -552,6 +553,8 @@
             if self.run_by_task.get(run.task) is not run or run.stop_requested:
                 self._drop_run(run, "stopped before its start")
                 return
+            if run.state is not RunState.RESERVED:
+                return  # another run of the task is still on the worker
             obstacle = self._find_obstacle()
             if obstacle is not None:
                 self._counters.increment(f"start.{obstacle}")
@@ -565,8 +568,7 @@
             order = StartOrder(
                 run.task, run.number, payload, lease_end_ms, checkpoint, ticket
             )
-            if run.state is RunState.RESERVED:
-                run.state = RunState.ASSIGNED
+            run.state = RunState.ASSIGNED
             run.start_sent_at = asyncio.get_running_loop().time()
             self._tasks_in_flight.add(run.task)
             outcome = await self._send_start(token, order)
--- a/savorydale/tests/orders/worker_link_tests.py
+++ b/savorydale/tests/orders/worker_link_tests.py
@@ -17,6 +17,7 @@
     Unanswered,
     WorkerInfo,
 )
+from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.tests.harness import on_virtual_time
@@ -38,10 +39,13 @@
         self.active = {}
         self.crashes = []
         self.passed = []
+        self.lost = []
+        self.waits_ms = []
 
     # Orders
 
     async def renew(self, target, order):
+        self.waits_ms.append(order.wait_ms)
         await asyncio.sleep(RENEWAL_SECONDS)
         if self.failure is not None:
             return self.failure
@@ -64,7 +68,7 @@
         self.passed.append(run.task.index)
 
     def on_lost(self, link, run, reason):
-        pass
+        self.lost.append(run.task.index)
 
     def on_started(self, link, run):
         pass
@@ -238,6 +242,31 @@
         assert worker.crashes == [[0]]
 
 
+@on_virtual_time
+async def test_run_is_not_started_while_an_earlier_one_of_its_task_is_listed():
+    async with open_link() as (link, worker):
+        run = Run(TaskId("j", 0, 0, 0), 2, StepSpec(1), 0.0)
+        worker.active[run.task, 1] = None
+        link.reserve(run)
+        await asyncio.sleep(2 * RENEWAL_SECONDS)
+        link.start(run, "", "")
+        await asyncio.sleep(2 * RENEWAL_SECONDS)
+        assert worker.active == {(run.task, 1): None}
+        worker.active.clear()
+        await asyncio.sleep(3 * RENEWAL_SECONDS)
+        assert worker.lost == [0]
+
+
+@on_virtual_time
+async def test_isolated_run_that_waits_for_an_earlier_one_causes_no_extra_renewals():
+    async with open_link() as (link, worker):
+        run = Run(TaskId("j", 0, 0, 0), 2, StepSpec(1), 0.0, is_isolated=True)
+        worker.active[run.task, 1] = None
+        link.restore(run)
+        await asyncio.sleep(5.0)
+        assert worker.waits_ms[-5:] == [MIN_WAIT_MS] * 5
+
+
 class LostStarts:
     """Leaves starts unanswered, so that the token rises, and refuses older tokens."""
 
