Count a crash after connections were refused for a while

Cause: found by the review: after refused connections to a worker that lives on, its next crash was taken for the one already counted. Change: an answer of the worker ends that state, whichever incarnation it is. Result: the new test of worker_link_tests.py fails without the change and passes with it; orders and crashing tasks tests pass.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -350,8 +350,7 @@
         if self.born_ms is not None and renewed.born_ms != self.born_ms:
             self._check_restart(renewed, sent_at)
             self._begin_incarnation(renewed.born_ms, sent_at)
-        if renewed.born_ms != self.born_ms:
-            self._is_incarnation_gone = False
+        self._is_incarnation_gone = False
         self.born_ms = renewed.born_ms
         if (
             self.last_contact_at is None
--- a/savorydale/tests/orders/worker_link_tests.py
+++ b/savorydale/tests/orders/worker_link_tests.py
@@ -267,6 +267,20 @@
         assert worker.waits_ms[-5:] == [MIN_WAIT_MS] * 5
 
 
+@on_virtual_time
+async def test_crash_after_connections_were_refused_for_a_while_is_counted():
+    async with open_link() as (link, worker):
+        worker.failure = NOT_LISTENING
+        await asyncio.sleep(1.0)
+        worker.failure = None
+        await asyncio.sleep(1.0)
+        crashes = len(worker.crashes)
+        await start(link, 0)
+        worker.crash()
+        await asyncio.sleep(1.0)
+        assert worker.crashes[crashes:] == [[0]]
+
+
 class LostStarts:
     """Leaves starts unanswered, so that the token rises, and refuses older tokens."""
 
