--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -87,9 +87,9 @@
     share ``first_contact_slots``: a new lease holder connects to a few workers at a
     time, or the connections to a large fleet would all time out.
 
-    ``last_contact_at`` is on the loop's clock. A crash is reported once, until the worker
-    answers again. Ended runs up to ``processed_number``
-    were passed to the listener; those up to ``acknowledged_number`` are durable.
+    ``last_contact_at`` is on the loop's clock. A crash is reported once, until the
+    worker answers again. Ended runs up to ``processed_number`` were passed to the
+    listener; those up to ``acknowledged_number`` are durable.
     """
 
     def __init__(
