Send the late start of a test through the adapter

Cause: late_start_tests.py wrote an order in the platform's own names. Change: the order that was held back is sent by the entry's own client; the check is the same, and that the worker accepts it is now asserted.

--- a/savorydale/tests/late_start_tests.py
+++ b/savorydale/tests/late_start_tests.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from savorydale.jobs.model import StepSpec
-from savorydale.orders.interface import Unanswered
+from savorydale.orders.interface import Accepted, Unanswered
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
 from standins.task_worker import Plan
@@ -26,20 +26,14 @@
             unsent.append((target, order))
             return Unanswered("lost")
 
-        branch.entry_by_name[holder]._orders.start = lose_start
+        orders = branch.entry_by_name[holder]._orders
+        send_start = orders.start
+        orders.start = lose_start
         await branch.submit(holder, JOB, StepSpec(1, 500, 100, estimate_ms=20_000))
         await branch.wait_until(lambda: len(unsent) == 2, 5)
         await branch.kill_entry(holder)
-        worker = branch.worker_by_name["w0"]
-        worker.crash()
-        target, order = unsent[0]
-        body = {
-            "task": str(order.task),
-            "run": order.run,
-            "deadlineMs": order.lease_end_ms,
-            "fenceToken": target.fencing_token,
-        }
-        await worker.handle("POST", "/-/run-start", {}, body)
+        branch.worker_by_name["w0"].crash()
+        assert isinstance(await send_start(*unsent[0]), Accepted)  # arrives late
         branch.add_worker("w1")
         await asyncio.sleep(8.0)
         assert branch.checker.violations == []
