Test that tasks are placed though ranking the queue outlasts a round

What callers see: tasks that wait, of services too, are not started although workers have room, for as long as the queue is long and the VM slow.

--- a/savorydale/tests/scheduler/planner_tests.py
+++ b/savorydale/tests/scheduler/planner_tests.py
@@ -11,7 +11,7 @@
 from savorydale.orders.interface import Resources, WorkerInfo
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
-from savorydale.placement.choice import MIN_BACKFILL_SPEED, WorkerChooser
+from savorydale.placement.choice import MIN_BACKFILL_SPEED
 from savorydale.scheduler import planner as planner_module
 from savorydale.scheduler.planner import Planner, PlannerLimits
 from savorydale.scheduler.state import SchedulerState
@@ -102,24 +102,34 @@
 
 
 @contextlib.contextmanager
-def slow_scoring(monkeypatch, seconds):
-    """Advance the clock by ``seconds`` for each step whose workers are scored."""
+def slow_calls(monkeypatch, name, seconds):
+    """Advance the clock by ``seconds`` for each call of what the planner imports."""
     loop = asyncio.get_running_loop()
     time = loop.time
+    function = getattr(planner_module, name)
     spent = 0.0
 
-    class SlowChooser(WorkerChooser):
-        def __init__(self, *args):
-            nonlocal spent
-            spent += seconds
-            super().__init__(*args)
+    def call_slowly(*args):
+        nonlocal spent
+        spent += seconds
+        return function(*args)
 
-    monkeypatch.setattr(planner_module, "WorkerChooser", SlowChooser)
+    monkeypatch.setattr(planner_module, name, call_slowly)
     monkeypatch.setattr(loop, "time", lambda: time() + spent)
     yield
     monkeypatch.undo()
 
 
+def slow_scoring(monkeypatch, seconds):
+    """Advance the clock by ``seconds`` for each step whose workers are scored."""
+    return slow_calls(monkeypatch, "WorkerChooser", seconds)
+
+
+def slow_ranking(monkeypatch, seconds):
+    """Advance the clock by ``seconds`` for each step that is ranked."""
+    return slow_calls(monkeypatch, "rank_step", seconds)
+
+
 @on_virtual_time
 async def test_steps_that_do_not_fit_do_not_use_up_a_round():
     fixture = PlannerFixture(workers=3)
@@ -187,6 +197,19 @@
     assert started_at - freed_at <= MAX_SERVICE_WAIT_SECONDS
 
 
+@on_virtual_time
+async def test_tasks_are_placed_though_ranking_the_queue_outlasts_a_round():
+    fixture = PlannerFixture(workers=3)
+    fixture.train_model(tail_ms=BASE_TAIL_MS)
+    for number in range(100):
+        step = StepSpec(1, 30_000, 1000, estimate_ms=500)  # fits on no worker
+        fixture.submit(f"{number:016x}", step)
+    fixture.submit("00000000000000f1", BACKFILL)
+    with pytest.MonkeyPatch.context() as patch, slow_ranking(patch, 0.002):
+        starts = await fixture.plan(seconds=1)
+    assert len(starts) == BACKFILL.task_count
+
+
 def suspect(fixture, job, index=0):
     """Make a task of a job the only suspect of a crash."""
     [step] = job.steps_of(0)
