Place tasks in each round, however long ranking the queue takes

What callers saw: tasks of services and steps of jobs that wait, while workers have room for them, for as long as the queue is long.

Cause: a planning round is cut off 50 ms after its begin, and collecting and ranking the waiting steps counts. Where that alone takes 50 ms (some 700 waiting steps on a VM of a third of a core), each round ends before its first step, nothing is placed, and the queue grows until the load ends. Class: a time limit that overhead growing with the load uses up, so that no work is left under overload.

Change: after ranking, a round has at least 25 ms for placing. PLANNING_PAUSE_RATIO still keeps planning to a third of the time.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -29,6 +29,7 @@
 from savorydale.storage.rows import RowKey
 
 MAX_ROUND_SECONDS = 0.05
+MIN_PLACING_SECONDS = 0.025  # of a round, however long ranking the queue takes
 REFUSAL_SECONDS = 2.0  # capacity may have been released since
 MILLISECONDS_PER_SECOND = 1000
 
@@ -94,9 +95,10 @@
         """Place ready tasks that fit, in the order of their rank.
 
         Returns whether all steps were considered: a round is cut off after
-        `MAX_ROUND_SECONDS`, so that it does not delay the rest of the process. The next
-        rounds skip steps that were refused, until a round considers all others, but for
-        `REFUSAL_SECONDS` at most.
+        `MAX_ROUND_SECONDS`, so that it does not delay the rest of the process, but not
+        before it has placed tasks for `MIN_PLACING_SECONDS`: ranking a long queue may
+        take longer than a round. The next rounds skip steps that were refused, until a
+        round considers all others, but for `REFUSAL_SECONDS` at most.
         """
         started_at = asyncio.get_running_loop().time()
         is_complete = self._plan_round(started_at)
@@ -119,8 +121,9 @@
         failed_placements = FailedPlacements()
         ranked_steps = self._rank_waiting(waiting, fleets, now)
         self._counts.steps_waiting += len(ranked_steps)
+        ends_at = max(now + MAX_ROUND_SECONDS, loop.time() + MIN_PLACING_SECONDS)
         for reached, (_, step, tasks) in enumerate(ranked_steps):
-            if loop.time() - now > MAX_ROUND_SECONDS:
+            if loop.time() > ends_at:
                 self._counts.steps_not_reached += len(ranked_steps) - reached
                 return False
             is_suspect = self._isolation.is_suspect(tasks)
