Log why a task of a service waits

`planning` counts refusals by kind of step, so the logs cannot tell why a given task has waited. Change: the planner records each decision on a waiting task of a service as it is made; once a second, a report logs `task waits` with the reason, its age, the last try, the configuration version, the lease epoch, and how many workers have capacity, 10 lines a second at most, each task every 4 s; `task.waits.<reason>` counts them. A worker that gets no tasks says why. No decision changes.

--- a/savorydale/scheduler/load_report.py
+++ b/savorydale/scheduler/load_report.py
@@ -1,4 +1,4 @@
-"""Logs the load of the workers and the services that lack replicas.
+"""Logs the load of the workers, the services that lack replicas, and why.
 
 It logs the fleet and the planning once per second, and a service only when its replica
 counts change, so that the log volume does not grow with the number of calls.
@@ -15,6 +15,7 @@
 from savorydale.orders.runs import Run, RunState
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.wait_report import WaitReport
 
 REPORT_INTERVAL_SECONDS = 1.0
 
@@ -37,10 +38,14 @@
     """Logs the load of the fleet, and replica counts that have changed."""
 
     def __init__(
-        self, state: SchedulerState, take_counts: Callable[[], PlanningCounts]
+        self,
+        state: SchedulerState,
+        take_counts: Callable[[], PlanningCounts],
+        wait_report: WaitReport,
     ):
         self._state = state
         self._take_counts = take_counts
+        self._wait_report = wait_report
         self._reported_at = 0.0
         self._count_by_job: dict[str, ReplicaCount] = {}
 
@@ -53,6 +58,7 @@
         self._report_fleet(now)
         self._report_planning()
         self._report_services()
+        self._wait_report.report(now)
 
     def _report_fleet(self, now: float) -> None:
         loads = [link.load for link in self._state.links if link.is_in_contact(now)]
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.jobs.model import Configuration, QueueSettings
+from savorydale.jobs.model import Configuration, QueueSettings, TaskId
 from savorydale.jobs.progress import StepProgress, Task
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
@@ -26,6 +26,12 @@
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.waiting import (
+    Refusal,
+    WaitDecisions,
+    WaitReason,
+    find_refusal_reason,
+)
 from savorydale.storage.rows import RowKey
 
 MAX_ROUND_SECONDS = 0.05
@@ -45,6 +51,13 @@
     ticket: str
 
 
+class RememberedRefusal(NamedTuple):
+    """A task for which a recent round found no worker; ``at`` is when."""
+
+    task: TaskId
+    at: float
+
+
 class PlannerLimits(NamedTuple):
     """Limits on occurrences of a job.
 
@@ -75,7 +88,8 @@
         self._read_configuration = read_configuration
         self._policy = policy
         self._starts: list[PendingStart] = []
-        self._refused_at_by_step: dict[tuple[RowKey, bool], float] = {}
+        self._refusal_by_step: dict[tuple[RowKey, bool], RememberedRefusal] = {}
+        self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
@@ -99,6 +113,7 @@
         `REFUSAL_SECONDS` at most.
         """
         started_at = asyncio.get_running_loop().time()
+        self.wait_decisions.record_round()
         is_complete = self._plan_round(started_at)
         self._counts.rounds += 1
         self._counts.cut_rounds += not is_complete
@@ -122,37 +137,140 @@
         for reached, (_, step, tasks) in enumerate(ranked_steps):
             if loop.time() - now > MAX_ROUND_SECONDS:
                 self._counts.steps_not_reached += len(ranked_steps) - reached
+                for _, left_out, its_tasks in ranked_steps[reached:]:
+                    self.wait_decisions.record_skip(
+                        left_out.spec, its_tasks, WaitReason.ROUNDS_CUT_OFF, now
+                    )
                 return False
-            is_suspect = self._isolation.is_suspect(tasks)
-            if self._was_refused(step, is_suspect, now):
-                continue
-            service = self._service_of(step.job.queue)
-            fleet = fleets.for_service(service)
-            if is_suspect:
-                if not self._place_suspects(step, tasks, fleet, now):
-                    self._refused_at_by_step[step.key, is_suspect] = now
-                continue
-            if self._needs_advice(step):
-                self._place_allowed(step, tasks, self._open_to_others(fleet), now)
-                continue
-            min_speed = self._min_speed(step, tasks, fleet, now)
-            if failed_placements.covers(service, step.spec, min_speed):
-                continue
-            fleet = self._open_to_others(fleet)
-            if not self._place(step, tasks, fleet, min_speed, now):
-                self._refused_at_by_step[step.key, is_suspect] = now
-                fits_somewhere = fleet.fits(step.spec)
-                failed_placements.add(service, step.spec, min_speed, fits_somewhere)
-        self._refused_at_by_step.clear()
+            self._consider(step, tasks, fleets, failed_placements, now)
+        self._refusal_by_step.clear()
         return True
 
-    def _was_refused(self, step: StepProgress, is_suspect: bool, now: float) -> bool:
-        """Return whether a recent round has tried the step, and found no worker.
+    def _consider(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        fleets: Fleets,
+        failed_placements: FailedPlacements,
+        now: float,
+    ) -> None:
+        """Try to place tasks of a step, unless it is known that no worker takes one."""
+        is_suspect = self._isolation.is_suspect(tasks)
+        refusal = self._recent_refusal(step, is_suspect, now)
+        if refusal is not None:
+            self._record_remembered(step, tasks, refusal, now)
+            return
+        service = self.service_of(step.job.queue)
+        fleet = fleets.for_service(service)
+        if is_suspect:
+            if not self._place_suspects(step, tasks, fleet, now):
+                self._record_refusal(step, tasks, fleet, is_suspect, now)
+            return
+        if self._needs_advice(step):
+            if not self._place_allowed(step, tasks, self._open_to_others(fleet), now):
+                self._explain_refusal(step, tasks, fleet, is_suspect, now)
+            return
+        min_speed = self._min_speed(step, tasks, fleet, now)
+        if failed_placements.covers(service, step.spec, min_speed):
+            self.wait_decisions.record_skip(step.spec, tasks, WaitReason.COVERED, now)
+            return
+        open_fleet = self._open_to_others(fleet)
+        if not self._place(step, tasks, open_fleet, min_speed, now):
+            self._record_refusal(step, tasks, fleet, is_suspect, now)
+            fits_somewhere = open_fleet.fits(step.spec)
+            failed_placements.add(service, step.spec, min_speed, fits_somewhere)
+
+    def _recent_refusal(
+        self, step: StepProgress, is_suspect: bool, now: float
+    ) -> RememberedRefusal | None:
+        """Return the refusal of a step, if a recent round has found no worker for it.
 
         Under overload no round may consider all steps for long, so a refusal lapses.
         """
-        refused_at = self._refused_at_by_step.get((step.key, is_suspect))
-        return refused_at is not None and now - refused_at < REFUSAL_SECONDS
+        refusal = self._refusal_by_step.get((step.key, is_suspect))
+        if refusal is None or now - refusal.at >= REFUSAL_SECONDS:
+            return None
+        return refusal
+
+    def _record_remembered(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        refusal: RememberedRefusal,
+        now: float,
+    ) -> None:
+        if not step.spec.long_running:
+            return
+        is_same = any(task.id == refusal.task for task in tasks)
+        reason = (
+            WaitReason.REFUSAL_REMEMBERED if is_same else WaitReason.OTHER_TASK_REFUSED
+        )
+        detail = f"{refusal.task} {now - refusal.at:.2f} s ago"
+        self.wait_decisions.record_skip(step.spec, tasks, reason, now, detail)
+
+    def _record_refusal(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        fleet: Fleet,
+        is_suspect: bool,
+        now: float,
+    ) -> None:
+        """Remember that no worker could take a task of a step, and why."""
+        refused = next(task for task in tasks if task.is_waiting)
+        refusal = RememberedRefusal(refused.id, now)
+        self._refusal_by_step[step.key, is_suspect] = refusal
+        self._explain_refusal(step, tasks, fleet, is_suspect, now)
+
+    def _explain_refusal(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        fleet: Fleet,
+        is_suspect: bool,
+        now: float,
+    ) -> None:
+        """Record why no worker could take the tasks of a service that still wait."""
+        if not step.spec.long_running:
+            return
+        waiting = [task for task in tasks if task.is_waiting]
+        self.wait_decisions.record_refusal(
+            waiting,
+            now,
+            lambda: self._find_refusal_reason(step, waiting, fleet, is_suspect, now),
+        )
+
+    def _find_refusal_reason(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        fleet: Fleet,
+        is_suspect: bool,
+        now: float,
+    ) -> WaitReason:
+        candidates = fleet.candidates
+        if is_suspect:
+            allowed = self._isolation.candidates_for_suspect(tasks[0], candidates)
+        else:
+            allowed = self._isolation.candidates_for_others(candidates)
+        open_workers = {candidate.worker for candidate in allowed}
+        allowed_workers = open_workers
+        if self._needs_advice(step):
+            allowed_workers = {
+                worker
+                for worker in open_workers
+                if self._state.advice.ticket(_name_of(step), worker, now)
+            }
+        refusal = Refusal(
+            step.spec,
+            is_suspect,
+            step.count_by_worker(),
+            candidates,
+            open_workers,
+            allowed_workers,
+        )
+        service = self.service_of(step.job.queue)
+        return find_refusal_reason(refusal, self._state, service, now)
 
     def _begin_isolation(self, now: float) -> None:
         run_by_task_by_worker = {
@@ -246,7 +364,7 @@
             if not step.spec.long_running:
                 ranked.append((rank_step(step, now), step, tasks))
                 continue
-            fleet = fleets.for_service(self._service_of(step.job.queue))
+            fleet = fleets.for_service(self.service_of(step.job.queue))
             has_capacity = fleet.has_ample_capacity_for(step.spec)
             if step.spec.gang:
                 ranked.append((rank_step(step, now, has_capacity), step, tasks))
@@ -265,7 +383,7 @@
         self, step: StepProgress, candidates: list[Candidate], now: float
     ) -> list[Candidate]:
         """Return the workers with a valid ticket; query the policy about the others."""
-        name = StepName(step.job.id, step.occurrence, step.number)
+        name = _name_of(step)
         fitting = [
             candidate for candidate in candidates if candidate.load.fits(step.spec)
         ]
@@ -301,7 +419,7 @@
         )
         self._state.batch_demand.observe(running_millicores + waiting_millicores, now)
 
-    def _service_of(self, queue: QueueSettings) -> str:
+    def service_of(self, queue: QueueSettings) -> str:
         """Return a queue's service, preferably as the configuration names it now."""
         configuration = self._read_configuration()
         current = configuration.queue_by_name.get(queue.name) if configuration else None
@@ -332,7 +450,10 @@
             fleet.is_full,
         )
         if step.spec.gang and len(tasks) < step.unfinished_count:
-            return True  # members of the last run have not all ended
+            self.wait_decisions.record_skip(
+                step.spec, tasks, WaitReason.GANG_NOT_ENDED, now
+            )
+            return True
         chooser = WorkerChooser(step, candidates, context)
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
@@ -363,6 +484,10 @@
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
+    def _configuration_version(self) -> int:
+        configuration = self._read_configuration()
+        return configuration.version if configuration else 0
+
     def _service_headroom(self, step: StepProgress, fleet: Fleet) -> float:
         """Return the capacity to keep free beside a service, 0 if there is plenty."""
         if not step.spec.long_running or fleet.has_ample_capacity_for(step.spec):
@@ -409,7 +534,7 @@
         self, step: StepProgress, task: Task, run: Run, link: WorkerLink
     ) -> None:
         self._state.job_tracker.assign(step, task, link.worker)
-        name = StepName(step.job.id, step.occurrence, step.number)
+        name = _name_of(step)
         ticket = self._state.advice.ticket(name, link.worker, run.assigned_at)
         payload = step.job.row.spec.payload
         self._starts.append(PendingStart(link, run, payload, task.checkpoint, ticket))
@@ -426,6 +551,10 @@
         )
 
 
+def _name_of(step: StepProgress) -> StepName:
+    return StepName(step.job.id, step.occurrence, step.number)
+
+
 def _seconds_waited(step: StepProgress, tasks: list[Task], now: float) -> float:
     """Return how long the oldest of a step's waiting tasks has waited."""
     return now - (min(task.wait_started_at for task in tasks) or step.job.added_at)
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -1,5 +1,7 @@
 """State of the scheduling entry during one term."""
 
+from enum import StrEnum
+
 from savorydale.jobs.tracker import JobTracker
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import AdviceCache
@@ -10,6 +12,15 @@
 from savorydale.storage.rows import RowKey, RowWrite
 
 
+class WorkerObstacle(StrEnum):
+    """Why a worker gets no tasks now."""
+
+    DRAINING = "draining"
+    NOT_REGISTERED = "not_registered"
+    OUT_OF_CONTACT = "out_of_contact"
+    QUARANTINED = "quarantined"
+
+
 class SchedulerState:
     """Jobs, workers and learned models, shared by the components of a term.
 
@@ -61,12 +72,17 @@
                 self.colocation.scarcity_of(link.worker),
             )
             for link in self.links
-            if link.info.service == service and self._is_eligible(link, now)
+            if link.info.service == service and not self.find_obstacle(link, now)
         ]
 
-    def _is_eligible(self, link: WorkerLink, now: float) -> bool:
-        if link.info.is_draining or not link.is_registered:
-            return False
+    def find_obstacle(self, link: WorkerLink, now: float) -> WorkerObstacle | None:
+        """Return why a worker may get no tasks now, or ``None`` if it may."""
+        if link.info.is_draining:
+            return WorkerObstacle.DRAINING
+        if not link.is_registered:
+            return WorkerObstacle.NOT_REGISTERED
         if not link.is_in_contact(now):
-            return False
-        return not self.health_of(link.worker).is_quarantined(now)
+            return WorkerObstacle.OUT_OF_CONTACT
+        if self.health_of(link.worker).is_quarantined(now):
+            return WorkerObstacle.QUARANTINED
+        return None
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -41,6 +41,7 @@
 from savorydale.scheduler.run_mover import RunMover
 from savorydale.scheduler.state import SchedulerState
 from savorydale.scheduler.takeover import load_state
+from savorydale.scheduler.wait_report import WaitReport
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore, StoredRow
 
@@ -100,7 +101,16 @@
             self.set_aside_job,
         )
         self._mover = RunMover(self._state, counters)
-        self._load_report = LoadReport(self._state, self._planner.take_counts)
+        wait_report = WaitReport(
+            self._state,
+            self._planner.wait_decisions,
+            counters,
+            self._planner.service_of,
+            lease.epoch,
+        )
+        self._load_report = LoadReport(
+            self._state, self._planner.take_counts, wait_report
+        )
         self._housekeeping = Housekeeping(
             self._state,
             timing.status_retention_s,
@@ -532,6 +542,7 @@
         """Plan unless registrations are old; return whether the round is complete."""
         if not self._registration_age.is_recent():
             self._counters.increment("planning.registrations_old")
+            self._planner.wait_decisions.record_stop(asyncio.get_running_loop().time())
             return True
         return self._planner.plan()
 
--- a/savorydale/tests/commands/explain_tests.py
+++ b/savorydale/tests/commands/explain_tests.py
@@ -66,3 +66,15 @@
 def test_an_unknown_job_has_no_timeline():
     lines = list(read_log(io.StringIO("\n".join(LOG_OF_E1))))
     assert build_timeline(lines, "ffffffffffffffff") == []
+
+
+def test_the_timeline_tells_why_a_task_of_the_job_waits():
+    waits = {"task": f"{JOB}.0.0.0", "reason": "no_capacity", "reason_age": 2.5}
+    lines = [
+        *LOG_OF_E1,
+        log_line("e1", "05.000", "task waits", job=JOB, **waits),
+        log_line("e1", "05.100", "task waits", job="0000000000000000", task="0.0.0.0"),
+    ]
+    timeline = explain([], io.StringIO("\n".join(lines)), JOB)
+    assert [text for text in timeline if "task waits" in text] == timeline[1:]
+    assert "reason=no_capacity reason_age=2.5" in timeline[1]
