Start backfill of an idle job within the bound for waiting jobs

Callers saw a job of which nothing runs for over three seconds while workers have capacity. A job without a running task may start one backfill task at any speed, but the least speed decayed to zero in four seconds after each requeue: longer than a ready job may wait.

It is lifted now after MAX_IDLE_SECONDS. The floor for all other tasks and its decay stay as they were. Class: a wait that is longer than the bound which it must keep.

--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -19,6 +19,7 @@
 INITIAL_MIN_BACKFILL_SPEED = 0.6  # accepted at once; the bound then decays
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # while the task waits
 MIN_BACKFILL_SPEED = 0.3  # a slower task hardly progresses
+MAX_IDLE_SECONDS = 2.0  # then a job without a running task starts one at any speed
 BUSY_RATIO = 0.6  # used share of the fleet's CPU
 FULL_RATIO = 0.8  # reserved share of the fleet's CPU
 # Terms of a score, in which the whole CPU of a worker, or full speed, counts 1.
@@ -97,11 +98,13 @@
 
     A task runs at full speed until it is throttled, so it interferes with services even
     on a worker that soon throttles it to almost nothing, and it holds its memory there.
-    ``allow_any_speed`` lets the bound decay to zero all the same, for a job that would
-    otherwise not run at all.
+    ``allow_any_speed`` lifts the bound all the same after `MAX_IDLE_SECONDS`, for a job
+    that would otherwise not run at all.
     """
+    if allow_any_speed and waited_seconds > MAX_IDLE_SECONDS:
+        return 0.0
     speed = INITIAL_MIN_BACKFILL_SPEED - MIN_SPEED_DECAY_PER_SECOND * waited_seconds
-    return max(0.0 if allow_any_speed else MIN_BACKFILL_SPEED, speed)
+    return max(MIN_BACKFILL_SPEED, speed)
 
 
 class WorkerChooser:
