Let other backfill make no fleet busy for an idle job

Callers saw an accepted job of which nothing runs, for as long as other backfill runs, though most of the workers' capacity is free. A job without a running task may start one backfill task at any speed unless the fleet is busy. Backfill counted as use there, although it reserves no CPU and yields to everything else: where the services throttle a job's image on all workers, backfill of another image that they don't throttle kept the job from starting for ever.

A fleet is busy only if most of its CPU is reserved as well. Beside services and batch tasks that reserve most of it, nothing changes. Class: a resource that may be taken back counted as taken.

Before: test_idle_job_does_not_wait_for_ever_beside_other_backfill E AssertionError: nothing is started within 30 s After: passes, within 3 s.

--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -20,7 +20,7 @@
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # while the task waits
 MIN_BACKFILL_SPEED = 0.3  # a slower task hardly progresses
 MAX_IDLE_SECONDS = 2.0  # then a job without a running task starts one at any speed
-BUSY_RATIO = 0.6  # used share of the fleet's CPU
+BUSY_RATIO = 0.6  # used share, and reserved share, of the fleet's CPU
 FULL_RATIO = 0.8  # reserved share of the fleet's CPU
 # Terms of a score, in which the whole CPU of a worker, or full speed, counts 1.
 REMOTE_PENALTY = 1.0
@@ -80,17 +80,26 @@
 
 
 def is_busy(candidates: Sequence[Candidate]) -> bool:
-    """Return whether most of the CPU of the workers is used."""
+    """Return whether most of the CPU of the workers is used, and most is reserved.
+
+    Backfill reserves none: however much of it runs, it makes no fleet busy by itself.
+    """
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
     unused = sum(unused_millicores(candidate.load) for candidate in candidates)
-    return capacity - unused >= BUSY_RATIO * capacity
+    is_used = capacity - unused >= BUSY_RATIO * capacity
+    return is_used and _is_reserved(candidates, BUSY_RATIO)
 
 
 def is_full(candidates: Sequence[Candidate]) -> bool:
     """Return whether most of the CPU of the workers is reserved."""
+    return _is_reserved(candidates, FULL_RATIO)
+
+
+def _is_reserved(candidates: Sequence[Candidate], ratio: float) -> bool:
+    """Return whether at least this share of the workers' CPU is reserved."""
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
     reserved = sum(candidate.load.cpu_millicores for candidate in candidates)
-    return reserved >= FULL_RATIO * capacity
+    return reserved >= ratio * capacity
 
 
 def min_backfill_speed(waited_seconds: float, allow_any_speed: bool) -> float:
--- a/savorydale/scheduler/fleet.py
+++ b/savorydale/scheduler/fleet.py
@@ -13,8 +13,8 @@
 class Fleet(NamedTuple):
     """The workers of a service that may get tasks.
 
-    ``is_busy`` tells whether most of their CPU is used, ``is_full`` whether most of it
-    is reserved.
+    ``is_busy`` tells whether most of their CPU is used, and not by backfill alone,
+    ``is_full`` whether nearly all of it is reserved.
     """
 
     candidates: list[Candidate]
--- a/savorydale/tests/scheduler/backfill_wait_tests.py
+++ b/savorydale/tests/scheduler/backfill_wait_tests.py
@@ -2,11 +2,16 @@
 
 import asyncio
 
+from savorydale.jobs.model import StepSpec, TaskId
+from savorydale.orders.runs import Run, RunState
 from savorydale.placement.choice import MIN_BACKFILL_SPEED
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_tests import BACKFILL, PlannerFixture
 
 MAX_IDLE_SECONDS = 3.0  # a ready job may have nothing running for this long
+OTHER_BACKFILL = StepSpec(
+    1, 20_000, 1000, estimate_ms=60_000, image="export", backfill=True
+)
 JOB = "00000000000000a1"
 
 
@@ -19,6 +24,14 @@
     return fixture
 
 
+def add_run(fixture, worker, spec):
+    """Let a run of another job be active on a worker."""
+    task = TaskId(f"other-{worker}", 0, 0, 0)
+    run = Run(task, 1, spec, 0.0, RunState.ACTIVE, passed_probation=True)
+    fixture.state.link_by_worker[worker].reserve(run)
+    return run
+
+
 async def first_start_seconds(fixture, seconds):
     """Return when the first start is planned, or fail."""
     began_at = asyncio.get_running_loop().time()
@@ -32,3 +45,12 @@
     fixture = make_throttled_fixture()
     fixture.submit(JOB, BACKFILL)
     assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
+
+
+@on_virtual_time
+async def test_idle_job_does_not_wait_for_ever_beside_other_backfill():
+    fixture = make_throttled_fixture()
+    for link in fixture.state.links:
+        add_run(fixture, link.worker, OTHER_BACKFILL)
+    fixture.submit(JOB, BACKFILL)
+    assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
