Start backfill of an idle job beside workers whose CPU is used up

Callers saw an accepted job of which nothing runs, while an eighth of the capacity is reserved, in the test. The estimate of unused CPU is negative where services start beside much backfill, so the speed of one more task was negative too, and below a least speed of zero: a job that may start one task at any speed found no worker.

The speed of a task is zero at least. Class: an estimate outside of the range that a comparison assumes; speed_of in colocation.py is bounded already, the estimate in a score may be negative.

Before: test_idle_job_does_not_wait_until_its_share_of_cpu_is_above_zero E AssertionError: nothing is started within 30 s After: passes.

--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -207,7 +207,7 @@
     """Return the share of its CPU demand that a backfill task would get."""
     allowed = context.speed_by_worker.get(candidate.worker, 1.0)
     unused_ratio = unused_millicores(candidate.load) / max(1, spec.cpu_millicores)
-    return min(allowed, unused_ratio, 1.0)
+    return max(0.0, min(allowed, unused_ratio, 1.0))
 
 
 def _score(spec: StepSpec, candidate: Candidate, context: PlacementContext) -> float:
--- a/savorydale/tests/scheduler/backfill_wait_tests.py
+++ b/savorydale/tests/scheduler/backfill_wait_tests.py
@@ -54,3 +54,13 @@
         add_run(fixture, link.worker, OTHER_BACKFILL)
     fixture.submit(JOB, BACKFILL)
     assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
+
+
+@on_virtual_time
+async def test_idle_job_does_not_wait_until_its_share_of_cpu_is_above_zero():
+    fixture = make_throttled_fixture()
+    for link in fixture.state.links:
+        # The services started after the backfill, which uses all that they leave.
+        add_run(fixture, link.worker, OTHER_BACKFILL._replace(cpu_millicores=31_000))
+    fixture.submit(JOB, BACKFILL)
+    assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
