Count no run on a silent worker as the running task of a job

Callers saw an accepted job of which nothing runs for the whole lease of a lost worker, and longer after takeovers. Other tasks of the job could have run: a job without a running task may start one backfill task at any speed, but a run that is assigned to a worker out of contact counted as running, until the lease was known to have lapsed.

Only runs on workers in contact count. The task of the silent run itself still waits for the lease. Class: what is recorded about a worker taken as what happens on it.

Before: test_job_does_not_wait_for_its_run_on_a_silent_worker E AssertionError: nothing is started within 30 s After: passes.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -8,7 +8,7 @@
 
 from savorydale.counters import Counters
 from savorydale.jobs.model import Configuration, QueueSettings
-from savorydale.jobs.progress import StepProgress, Task
+from savorydale.jobs.progress import JobProgress, StepProgress, Task
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyService, StepName
@@ -230,9 +230,18 @@
         if not step.spec.backfill:
             return 0.0
         waited_seconds = _seconds_waited(step, tasks, now)
-        return min_backfill_speed(
-            waited_seconds, not fleet.is_busy and step.job.is_idle
+        allow_any_speed = not fleet.is_busy and not self._has_live_run(step.job, now)
+        return min_backfill_speed(waited_seconds, allow_any_speed)
+
+    def _has_live_run(self, job: JobProgress, now: float) -> bool:
+        """Return whether a task of a job is assigned to a worker in contact.
+
+        A run on any other worker may have ended, though that is known only later.
+        """
+        links = (
+            self._state.link_by_worker.get(task.worker) for task in job.assigned_tasks()
         )
+        return any(link is not None and link.is_in_contact(now) for link in links)
 
     def _rank_waiting(
         self,
--- a/savorydale/tests/scheduler/backfill_wait_tests.py
+++ b/savorydale/tests/scheduler/backfill_wait_tests.py
@@ -64,3 +64,16 @@
         add_run(fixture, link.worker, OTHER_BACKFILL._replace(cpu_millicores=31_000))
     fixture.submit(JOB, BACKFILL)
     assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
+
+
+@on_virtual_time
+async def test_job_does_not_wait_for_its_run_on_a_silent_worker():
+    fixture = make_throttled_fixture()
+    fixture.add_worker("silent")
+    silent = fixture.state.link_by_worker["silent"]
+    silent.is_in_contact = lambda now: False
+    [step] = fixture.submit(JOB, BACKFILL).steps_of(0)
+    task = step.tasks[0]
+    silent.reserve(Run(task.id, 1, BACKFILL, 0.0, RunState.ACTIVE))
+    fixture.state.job_tracker.assign(step, task, silent.worker)
+    assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
