Place a backfill gang at any speed as a whole

Callers would see a gang of backfill never run where all workers throttle its image: as one task at most starts below MIN_BACKFILL_SPEED, its members were cut down to one, which then counted as a gang whose last run has not ended.

A gang is not cut down: it starts with all its members or not at all. Class: a limit on the tasks of a step that splits a gang.

Before: test_gang_of_backfill_is_placed_at_any_speed_as_a_whole E AssertionError: assert 0 == 3 After: passes.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -326,10 +326,11 @@
     ) -> bool:
         """Place as many tasks of a step as fit; return whether all of them do.
 
-        If backfill may start below `MIN_BACKFILL_SPEED`, at most one task is placed;
-        see `_min_speed`.
+        If backfill may start below `MIN_BACKFILL_SPEED`, at most one task is placed,
+        or one gang; see `_min_speed`.
         """
-        if step.spec.backfill and min_speed < MIN_BACKFILL_SPEED:
+        is_slow = step.spec.backfill and min_speed < MIN_BACKFILL_SPEED
+        if is_slow and not step.spec.gang:
             tasks = tasks[:1]
         candidates = fleet.candidates
         context = PlacementContext(
--- a/savorydale/tests/scheduler/backfill_wait_tests.py
+++ b/savorydale/tests/scheduler/backfill_wait_tests.py
@@ -77,3 +77,11 @@
     silent.reserve(Run(task.id, 1, BACKFILL, 0.0, RunState.ACTIVE))
     fixture.state.job_tracker.assign(step, task, silent.worker)
     assert await first_start_seconds(fixture, 30) <= MAX_IDLE_SECONDS
+
+
+@on_virtual_time
+async def test_gang_of_backfill_is_placed_at_any_speed_as_a_whole():
+    fixture = make_throttled_fixture()
+    gang = BACKFILL._replace(task_count=3, gang=True)
+    fixture.submit(JOB, gang)
+    assert len(await fixture.plan(30)) == gang.task_count
