Move a run only where its task may be placed

Callers saw backfill stopped again and again and waiting in between, and a replica of a service stopped on a draining worker before its time, with no place to go to. The check whether a run could continue elsewhere was weaker than placement: for stuck backfill it counted workers of any service and quarantined ones, and for both kinds of moves also those without the required label, at the limit per worker, or denied by the policy service. So the run was stopped, and its task found no worker.

Both moves ask for the workers of the service that may get tasks, and apply can_host, which placement applies too. Class: two checks of one condition that differ.

Before: 8 of the 12 tests of move_target_tests.py fail, such as test_stuck_backfill_is_not_moved_if_no_other_worker_may_take_it[set_service] E AssertionError: assert {TaskId(job='...p=0, index=0)} == set() After: all pass.

--- a/savorydale/placement/advice.py
+++ b/savorydale/placement/advice.py
@@ -73,6 +73,11 @@
             return ""
         return ticket.text
 
+    def is_denied(self, step: StepName, worker: str) -> bool:
+        """Return whether the policy is known not to allow a worker for a step."""
+        advice = self._advice_by_step.get(step)
+        return advice is not None and worker in advice.denied
+
     def next_query(
         self, step: StepName, workers: Iterable[str], now: float
     ) -> list[str] | None:
--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -116,6 +116,18 @@
     return max(MIN_BACKFILL_SPEED, speed)
 
 
+def can_host(spec: StepSpec, candidate: Candidate, placed: int) -> bool:
+    """Return whether one more task of a step fits on a worker and is permitted there.
+
+    ``placed`` counts the step's tasks that the worker has.
+    """
+    if not candidate.load.fits(spec):
+        return False
+    if spec.required_label and spec.required_label not in candidate.labels:
+        return False
+    return not spec.max_per_worker or placed < spec.max_per_worker
+
+
 class WorkerChooser:
     """Chooses workers for the tasks of one step, one after the other.
 
@@ -175,12 +187,8 @@
 def _is_allowed(
     spec: StepSpec, candidate: Candidate, context: PlacementContext
 ) -> bool:
-    if not candidate.load.fits(spec):
-        return False
-    if spec.required_label and spec.required_label not in candidate.labels:
-        return False
     placed = context.count_by_worker.get(candidate.worker, 0)
-    if spec.max_per_worker and placed >= spec.max_per_worker:
+    if not can_host(spec, candidate, placed):
         return False
     if spec.long_running:
         return _leaves_headroom(spec, candidate.load, context.service_headroom)
--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepSpec
@@ -19,6 +19,8 @@
     split_share,
 )
 
+FindHosts = Callable[[WorkerLink, Run], Sequence[WorkerLink]]
+
 
 class SpeedChange(NamedTuple):
     """Order ``run`` to work at ``percent`` of its full speed."""
@@ -256,14 +258,24 @@
             / total
         )
 
-    def choose_moves(self, links: Sequence[WorkerLink], now: float) -> list[Move]:
-        """Return backfill runs that are throttled here but could run elsewhere."""
+    def choose_moves(
+        self,
+        links: Sequence[WorkerLink],
+        now: float,
+        find_hosts: FindHosts | None = None,
+    ) -> list[Move]:
+        """Return backfill runs that are throttled here but could run elsewhere.
+
+        ``find_hosts`` finds the workers that may get a run's task; by default, these
+        are all ``links``.
+        """
         moves: list[Move] = []
         for link in links:
             for run in link.run_by_task.values():
                 if not self._is_stuck(run, now):
                     continue
-                others = [other for other in links if other is not link]
+                hosts = links if find_hosts is None else find_hosts(link, run)
+                others = [other for other in hosts if other is not link]
                 if any(self._could_run(other, run) for other in others):
                     moves.append(Move(link, run))
                 if len(moves) >= MOVES_PER_ROUND:
--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -1,13 +1,17 @@
 """Stops runs that should continue on another worker."""
 
 import asyncio
+import functools
 import logging
 
 from savorydale.counters import Counters
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
+from savorydale.placement.advice import StepName
+from savorydale.placement.choice import can_host
 from savorydale.placement.draining import must_move
 from savorydale.placement.health import find_stalled_runs
+from savorydale.scheduler.fleet import Fleets
 from savorydale.scheduler.state import SchedulerState
 
 CHECK_INTERVAL_SECONDS = 0.25
@@ -40,21 +44,41 @@
             for link in self._state.links
             if not link.info.is_draining and link.is_registered
         ]
-        for link, run in self._state.colocation.choose_moves(links, now):
+        fleets = Fleets(self._state, now)
+        for link, run in self._state.colocation.choose_moves(
+            links, now, functools.partial(self._find_hosts, fleets)
+        ):
             self._move(link, run, "backfill is throttled too far to protect services")
 
     def _move_runs_off_draining_workers(self) -> None:
         """Stop the runs that must leave draining workers."""
         now = asyncio.get_running_loop().time()
+        fleets = Fleets(self._state, now)
         for link in self._state.links:
             if not link.info.is_draining or not link.run_by_task:
                 continue
-            candidates = self._state.candidates(link.info.service, now)
             for run in list(link.run_by_task.values()):
-                fits_elsewhere = any(other.load.fits(run.spec) for other in candidates)
+                fits_elsewhere = bool(self._find_hosts(fleets, link, run))
                 if must_move(run, link.seconds_left(now), now, fits_elsewhere):
                     self._move(link, run, "the worker is draining")
 
+    def _find_hosts(
+        self, fleets: Fleets, link: WorkerLink, run: Run
+    ) -> list[WorkerLink]:
+        """Return the other workers of the service on which the run's task may start."""
+        found = self._state.job_tracker.find_task(run.task)
+        if found is None:
+            return []
+        count_by_worker = found[0].count_by_worker()
+        name = StepName(*run.task[:3])
+        return [
+            self._state.link_by_worker[candidate.worker]
+            for candidate in fleets.for_service(link.info.service).candidates
+            if candidate.worker != link.worker
+            and can_host(run.spec, candidate, count_by_worker[candidate.worker])
+            and not self._state.advice.is_denied(name, candidate.worker)
+        ]
+
     def _move_stalled_runs(self) -> None:
         """Stop runs without progress, and quarantine their workers for a while."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/savorydale/tests/scheduler/move_target_tests.py
@@ -0,0 +1,108 @@
+"""A run is moved only if another worker may take its task."""
+
+import asyncio
+
+import pytest
+
+from savorydale.counters import Counters
+from savorydale.orders.runs import Run, RunState
+from savorydale.placement.advice import PolicyAnswer, StepName
+from savorydale.scheduler.run_mover import RunMover
+from savorydale.tests.harness import on_virtual_time
+from savorydale.tests.scheduler.planner_tests import (
+    BACKFILL,
+    SERVICE,
+    PlannerFixture,
+)
+
+BACKFILL_STEP = BACKFILL._replace(
+    task_count=2, required_label="special", max_per_worker=1
+)
+SERVICE_STEP = SERVICE._replace(
+    task_count=2, required_label="special", max_per_worker=1
+)
+SECONDS = 5.0
+FAR_FUTURE = 1000.0
+
+
+class MoveFixture(PlannerFixture):
+    """A worker that a run should leave, and one other that may take its task."""
+
+    def __init__(self, spec):
+        super().__init__(workers=0)
+        self.stopped = []
+        for worker in ("here", "other"):
+            self.add_worker(worker, ("special",), SERVICE._replace(latency_target_ms=0))
+        self.here = self.state.link_by_worker["here"]
+        self.other = self.state.link_by_worker["other"]
+        [self.step] = self.submit("00000000000000a1", spec).steps_of(0)
+        self.task, self.other_task = self.step.tasks
+        self.state.job_tracker.assign(self.step, self.task, "here")
+        run = Run(self.task.id, 1, spec, 0.0, RunState.ACTIVE)
+        self.here.reserve(run)
+        self.here.load.set_speed(run, 0)
+        self.here.stop = self.stopped.append
+        self.mover = RunMover(self.state, Counters())
+
+    async def moved_tasks(self):
+        for _ in range(round(SECONDS / 0.1)):
+            for link in self.state.links:
+                link.last_contact_at = asyncio.get_running_loop().time()
+            self.mover.move_runs()
+            await asyncio.sleep(0.1)
+        return {run.task for run in self.stopped}
+
+
+def set_service(fixture):
+    fixture.other.info = fixture.other.info._replace(service="another")
+
+
+def set_quarantine(fixture):
+    fixture.state.health_of("other").quarantine_ends_at = FAR_FUTURE
+
+
+def remove_label(fixture):
+    fixture.other.info = fixture.other.info._replace(labels=())
+
+
+def reach_limit(fixture):
+    fixture.state.job_tracker.assign(fixture.step, fixture.other_task, "other")
+
+
+def deny(fixture):
+    name = StepName(fixture.step.job.id, 0, 0)
+    answer = PolicyAnswer({}, 1.0)
+    fixture.state.advice.record_answer(name, ["other"], answer, 0.0)
+
+
+OBSTACLES = [set_service, set_quarantine, remove_label, reach_limit, deny]
+
+
+@on_virtual_time
+async def test_stuck_backfill_is_moved_to_a_worker_that_may_take_it():
+    fixture = MoveFixture(BACKFILL_STEP)
+    assert await fixture.moved_tasks() == {fixture.task.id}
+
+
+@pytest.mark.parametrize("obstacle", OBSTACLES)
+@on_virtual_time
+async def test_stuck_backfill_is_not_moved_if_no_other_worker_may_take_it(obstacle):
+    fixture = MoveFixture(BACKFILL_STEP)
+    obstacle(fixture)
+    assert await fixture.moved_tasks() == set()
+
+
+@on_virtual_time
+async def test_service_on_a_draining_worker_is_moved_to_a_worker_that_may_take_it():
+    fixture = MoveFixture(SERVICE_STEP)
+    fixture.here.info = fixture.here.info._replace(is_draining=True)
+    assert fixture.task.id in await fixture.moved_tasks()
+
+
+@pytest.mark.parametrize("obstacle", OBSTACLES)
+@on_virtual_time
+async def test_service_keeps_running_if_no_other_worker_may_take_it(obstacle):
+    fixture = MoveFixture(SERVICE_STEP)
+    fixture.here.info = fixture.here.info._replace(is_draining=True)
+    obstacle(fixture)
+    assert fixture.task.id not in await fixture.moved_tasks()
