Take backfill without CPU for no sign of a failing worker

Callers saw a healthy worker get no new tasks, of any kind, for 1.5 s at a time, and its backfill stopped. A run without progress quarantines its worker. Backfill at more than half of its speed counted, although it gets only the CPU that services and batch tasks leave, which may be none. Jobs that start one task at any speed make this more frequent.

Backfill is left out of the check while the estimate of unused CPU of its worker is below zero. Other runs there still show whether it stalls. Class: a verdict on a worker from something that has other causes.

Before: test_worker_whose_cpu_other_tasks_use_up_is_not_quarantined E assert not True After: passes, as test_worker_that_has_unused_cpu_is_quarantined did before.

--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -8,7 +8,7 @@
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import StepName
-from savorydale.placement.choice import can_host
+from savorydale.placement.choice import can_host, unused_millicores
 from savorydale.placement.draining import must_move
 from savorydale.placement.health import find_stalled_runs
 from savorydale.scheduler.fleet import Fleets
@@ -87,8 +87,7 @@
                 continue
             # The time of the last report: delays of this process do not count.
             reported_at = link.last_contact_at or now
-            runs = list(link.run_by_task.values())
-            stalled = find_stalled_runs(runs, reported_at)
+            stalled = find_stalled_runs(_runs_with_cpu(link), reported_at)
             if not stalled:
                 continue
             if self._state.health_of(link.worker).on_stall(now):
@@ -109,3 +108,13 @@
         )
         self._counters.increment("run.moved")
         link.stop(run)
+
+
+def _runs_with_cpu(link: WorkerLink) -> list[Run]:
+    """Return the runs on a worker, without backfill if no CPU may be left for it."""
+    is_used_up = unused_millicores(link.load) < 0
+    return [
+        run
+        for run in link.run_by_task.values()
+        if not (is_used_up and run.spec.backfill)
+    ]
