--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -19,7 +19,8 @@
 INITIAL_MIN_BACKFILL_SPEED = 0.6  # accepted at once; the bound then decays
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # while the task waits
 MIN_BACKFILL_SPEED = 0.3  # a slower task hardly progresses
-BUSY_RATIO = 0.6  # used share of the fleet's CPU
+MAX_IDLE_SECONDS = 2.0  # then a job without a running task starts one at any speed
+BUSY_RATIO = 0.6  # used share, and reserved share, of the fleet's CPU
 FULL_RATIO = 0.8  # reserved share of the fleet's CPU
 # Terms of a score, in which the whole CPU of a worker, or full speed, counts 1.
 REMOTE_PENALTY = 1.0
@@ -79,17 +80,26 @@
 
 
 def is_busy(candidates: Sequence[Candidate]) -> bool:
-    """Return whether most of the CPU of the workers is used."""
+    """Return whether most of the CPU of the workers is used, and most is reserved.
+
+    Backfill reserves none: however much of it runs, it makes no fleet busy by itself.
+    """
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
     unused = sum(unused_millicores(candidate.load) for candidate in candidates)
-    return capacity - unused >= BUSY_RATIO * capacity
+    is_used = capacity - unused >= BUSY_RATIO * capacity
+    return is_used and _is_reserved(candidates, BUSY_RATIO)
 
 
 def is_full(candidates: Sequence[Candidate]) -> bool:
     """Return whether most of the CPU of the workers is reserved."""
+    return _is_reserved(candidates, FULL_RATIO)
+
+
+def _is_reserved(candidates: Sequence[Candidate], ratio: float) -> bool:
+    """Return whether at least this share of the workers' CPU is reserved."""
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
     reserved = sum(candidate.load.cpu_millicores for candidate in candidates)
-    return reserved >= FULL_RATIO * capacity
+    return reserved >= ratio * capacity
 
 
 def min_backfill_speed(waited_seconds: float, allow_any_speed: bool) -> float:
@@ -97,11 +107,25 @@
 
     A task runs at full speed until it is throttled, so it interferes with services even
     on a worker that soon throttles it to almost nothing, and it holds its memory there.
-    ``allow_any_speed`` lets the bound decay to zero all the same, for a job that would
-    otherwise not run at all.
+    ``allow_any_speed`` lifts the bound all the same after `MAX_IDLE_SECONDS`, for a job
+    that would otherwise not run at all.
     """
+    if allow_any_speed and waited_seconds > MAX_IDLE_SECONDS:
+        return 0.0
     speed = INITIAL_MIN_BACKFILL_SPEED - MIN_SPEED_DECAY_PER_SECOND * waited_seconds
-    return max(0.0 if allow_any_speed else MIN_BACKFILL_SPEED, speed)
+    return max(MIN_BACKFILL_SPEED, speed)
+
+
+def can_host(spec: StepSpec, candidate: Candidate, placed: int) -> bool:
+    """Return whether one more task of a step fits on a worker and is permitted there.
+
+    ``placed`` counts the step's tasks that the worker has.
+    """
+    if not candidate.load.fits(spec):
+        return False
+    if spec.required_label and spec.required_label not in candidate.labels:
+        return False
+    return not spec.max_per_worker or placed < spec.max_per_worker
 
 
 class WorkerChooser:
@@ -163,12 +187,8 @@
 def _is_allowed(
     spec: StepSpec, candidate: Candidate, context: PlacementContext
 ) -> bool:
-    if not candidate.load.fits(spec):
-        return False
-    if spec.required_label and spec.required_label not in candidate.labels:
-        return False
     placed = context.count_by_worker.get(candidate.worker, 0)
-    if spec.max_per_worker and placed >= spec.max_per_worker:
+    if not can_host(spec, candidate, placed):
         return False
     if spec.long_running:
         return _leaves_headroom(spec, candidate.load, context.service_headroom)
@@ -195,7 +215,7 @@
     """Return the share of its CPU demand that a backfill task would get."""
     allowed = context.speed_by_worker.get(candidate.worker, 1.0)
     unused_ratio = unused_millicores(candidate.load) / max(1, spec.cpu_millicores)
-    return min(allowed, unused_ratio, 1.0)
+    return max(0.0, min(allowed, unused_ratio, 1.0))
 
 
 def _score(spec: StepSpec, candidate: Candidate, context: PlacementContext) -> float:
