Refuse registrations whose numbers cannot be a worker's

What callers saw: with one entry under the id of a worker that answers, whose `cpu` has 400 digits, accepted jobs never ran. Each entry gave up the lease and the next one acquired it: 10 times in 26 s of virtual time with two entries. With `remainingMs` of 400 digits and a run on that worker that could move, the lease was given up 2 times in 3 s.

Cause: the decoder took any number. Integers of JSON have no bound, and the planner and the mover of runs calculate with floats, so OverflowError ended the term, and that of each later holder. Earlier trials missed it because their odd entries had addresses at which no worker answered: such a worker is never a candidate for placement.

Change: registrations have a module of their own, with named bounds. Booleans are no numbers, in any table or message. What is outside is an unreadable registration: no new runs, and those that exist are kept.

--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -6,7 +6,8 @@
 from savorydale.counters import Counters
 from savorydale.exceptions import RowFormatError
 from savorydale.jobs.model import Configuration, QueueSettings
-from savorydale.orders.interface import Resources, WorkerInfo
+from savorydale.orders.interface import WorkerInfo
+from savorydale.platform.registrations import decode_worker
 from savorydale.storage.rows import StoredRow
 from savorydale.utils.json_values import (
     JsonObject,
@@ -21,7 +22,6 @@
 WORKERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
-WORKER_STATES = ("ready", "draining")
 DEFAULT_MAX_BODY_BYTES = 262_144
 
 log = logging.getLogger(__name__)
@@ -108,39 +108,6 @@
         self._on_response(store_ms)
 
 
-def decode_worker(worker: str, value: bytes) -> WorkerInfo:
-    """Decode a worker's registration.
-
-    Raises
-    ------
-    RowFormatError
-        If a field is missing, has another type, or names an unknown state.
-    """
-    data = load_json_object(value)
-    try:
-        capacity = to_object(data["capacity"])
-        if data["state"] not in WORKER_STATES:
-            raise RowFormatError("unknown state")
-        remaining_ms = data.get("remainingMs")
-        return WorkerInfo(
-            worker,
-            to_text(data["address"]),
-            to_text(data["service"]),
-            to_text(data["zone"]),
-            data["state"] == "draining",
-            Resources(
-                to_int(capacity["cpu"]),
-                to_int(capacity["memMb"]),
-                to_int(capacity.get("gpu") or 0),
-            ),
-            tuple(to_text(label) for label in to_list(data.get("labels") or [])),
-            to_int(data.get("born") or 0),
-            None if remaining_ms is None else to_int(remaining_ms),
-        )
-    except KeyError as error:
-        raise RowFormatError(f"missing field {error}") from error
-
-
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the operator's configuration.
 
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -28,7 +28,6 @@
     ConfigurationFollower,
     WorkerRegistry,
     decode_configuration,
-    decode_worker,
 )
 from savorydale.platform.http import (
     ConnectionRefused,
@@ -36,6 +35,7 @@
     NoReplyError,
     NotSentError,
 )
+from savorydale.platform.registrations import decode_worker
 from savorydale.platform.store import PlatformStore
 from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
--- a/savorydale/tests/platform/fuzz_tests.py
+++ b/savorydale/tests/platform/fuzz_tests.py
@@ -37,8 +37,9 @@
 from savorydale.placement.advice import StepName
 from savorydale.placement.crashes import CrashCounts
 from savorydale.platform.advice import PlatformPolicyService
-from savorydale.platform.discovery import decode_configuration, decode_worker
+from savorydale.platform.discovery import decode_configuration
 from savorydale.platform.http import HttpReply
+from savorydale.platform.registrations import decode_worker
 from savorydale.platform.store import PlatformStore
 from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
--- a/savorydale/utils/json_values.py
+++ b/savorydale/utils/json_values.py
@@ -63,6 +63,16 @@
     return int(to_float(value)) if isinstance(value, float) else int(_to_number(value))
 
 
+def to_whole_number(value: object, lowest: int, highest: int) -> int:
+    """Return a whole number within bounds, else raise `RowFormatError`."""
+    number = _to_number(value)
+    if not lowest <= number <= highest:
+        raise RowFormatError(f"the number is not within {lowest} to {highest}")
+    if number != int(number):
+        raise RowFormatError("the number is not whole")
+    return int(number)
+
+
 def to_float(value: object) -> float:
     """Return ``value`` if it is a finite number, else raise `RowFormatError`."""
     try:
@@ -75,7 +85,7 @@
 
 
 def _to_number(value: object) -> Any:
-    if not isinstance(value, int | float):
+    if not isinstance(value, int | float) or isinstance(value, bool):
         raise RowFormatError(f"{_shorten(value)} is not a number")
     return value
 
