Refuse registrations whose address cannot be connected to

What callers saw: another writer's copy of a worker's entry with a port of 0, 65536 or, with a path, a user, a space or a line break in the address. The entry counted as readable, so the holder sent the renewals of that worker to this address, and all runs on the worker ended with their lease although the worker was up and within reach.

Cause: any text was an address.

Change: an address is host and port (1 to 65535), and the host a name, an IPv4 address or an IPv6 address in brackets. Everything else is an unreadable registration: the worker keeps its earlier address and its runs, and gets no new ones.

Not covered: a copy with another address that is well-formed cannot be told from a worker that has moved.

--- a/savorydale/tests/odd_registrations_tests.py
+++ b/savorydale/tests/odd_registrations_tests.py
@@ -39,6 +39,26 @@
     "labels in a label": {"labels": [["a"]]},
     "labels is an object": {"labels": {}},
     "address is a number": {"address": 80},
+    "address is empty": {"address": ""},
+    "address without a port": {"address": "10.0.0.1"},
+    "address without a host": {"address": ":80"},
+    "port 0": {"address": "10.0.0.1:0"},
+    "port 65536": {"address": "10.0.0.1:65536"},
+    "port 99999999": {"address": "10.0.0.1:99999999"},
+    "port -1": {"address": "10.0.0.1:-1"},
+    "port in other digits": {"address": "10.0.0.1:\u0661\u0662"},
+    "user in the address": {"address": "me:pw@10.0.0.1:80"},
+    "path in the address": {"address": "10.0.0.1:80/x"},
+    "path before the port": {"address": "10.0.0.1/x:80"},
+    "space in the address": {"address": "10.0.0. 1:80"},
+    "line break in the address": {"address": "10.0.0.1:80\r\nX: y"},
+    "line break at the end": {"address": "10.0.0.1:80\n"},
+    "address in other letters": {"address": "w\u00f6rker:80"},
+    "lone surrogate in the address": {"address": "\ud800:80"},
+    "number too large in the address": {"address": "10.0.0.999:80"},
+    "address of 200 kB": {"address": "a" * 200_000 + ":80"},
+    "IPv6 without brackets": {"address": "fe80::1:80"},
+    "IPv6 that is none": {"address": "[fe80::1::2]:80"},
 }
 ODD_VALUES = {
     "lists nested 100,000 deep": b"[" * 100_000,
@@ -92,6 +112,7 @@
         await asyncio.sleep(10)
         assert not started_on(branch, "w0", JOB)
         assert branch.checker.starts.total() == STEP.task_count + 3  # nothing moved
+        assert run_count(branch, "w0") == 1
         branch.register("w0")
         await asyncio.sleep(0.2)
         await assert_job_completes(branch, NEXT_JOB)
