Play odd registrations against real entry processes

Three entries run as processes while a row of the workers' table changes every 50 ms: 47 odd parts under odd and ordinary keys, entries with the address of a worker, the store or an entry, and odd copies of a worker's own entry that alternate with the real one. Meanwhile jobs are submitted, a worker joins, one drains, the lease holder is killed, and another worker joins. The processes must stay the same and ready, no term may end, both workers must get tasks, the draining one none, and the service's runs must stay where they are.

The stand-in for a worker refuses requests for another instance over HTTP too, as the platform's workers do.

--- a/savorydale/tests/odd_registrations_tests.py
+++ b/savorydale/tests/odd_registrations_tests.py
@@ -1,7 +1,6 @@
 """An odd entry among those of the workers names no worker to use; the others hold."""
 
 import asyncio
-import json
 
 import pytest
 
@@ -9,6 +8,7 @@
 from savorydale.jobs.rows import JobStatus
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
+from savorydale.tests.odd_registrations import ODD_NAMES, make_odd
 from standins.task_worker import Plan
 
 JOB = "00000000000000a1"
@@ -17,67 +17,12 @@
 LASTING_JOB = "00000000000000c1"
 STEP = StepSpec(6, 500, 100, estimate_ms=500)
 LASTING_STEP = StepSpec(3, 500, 100, long_running=True, max_per_worker=1)
-HUGE = 10**400
-ODD_CHANGES = {
-    "cpu of 400 digits": {"capacity": {"cpu": HUGE, "memMb": 1000}},
-    "cpu of 400 digits below zero": {"capacity": {"cpu": -HUGE, "memMb": 1000}},
-    "cpu as large as a float can be": {"capacity": {"cpu": 1e308, "memMb": 1000}},
-    "cpu below zero": {"capacity": {"cpu": -5, "memMb": 1000}},
-    "cpu with a fraction": {"capacity": {"cpu": 10.5, "memMb": 1000}},
-    "cpu is true": {"capacity": {"cpu": True, "memMb": 1000}},
-    "memory of 400 digits": {"capacity": {"cpu": 1000, "memMb": HUGE}},
-    "gpu of 400 digits": {"capacity": {"cpu": 1000, "memMb": 1000, "gpu": HUGE}},
-    "gpu is a list": {"capacity": {"cpu": 1000, "memMb": 1000, "gpu": []}},
-    "no capacity": {"capacity": None},
-    "born of 400 digits": {"born": HUGE},
-    "born below zero": {"born": -1},
-    "remaining time of 400 digits": {"state": "draining", "remainingMs": HUGE},
-    "remaining time is not finite": {"remainingMs": float("inf")},
-    "state is a list": {"state": ["ready"]},
-    "state is unknown": {"state": "asleep"},
-    "labels by the thousand": {"labels": [f"x{number}" for number in range(2000)]},
-    "labels in a label": {"labels": [["a"]]},
-    "labels is an object": {"labels": {}},
-    "address is a number": {"address": 80},
-    "address is empty": {"address": ""},
-    "address without a port": {"address": "10.0.0.1"},
-    "address without a host": {"address": ":80"},
-    "port 0": {"address": "10.0.0.1:0"},
-    "port 65536": {"address": "10.0.0.1:65536"},
-    "port 99999999": {"address": "10.0.0.1:99999999"},
-    "port -1": {"address": "10.0.0.1:-1"},
-    "port in other digits": {"address": "10.0.0.1:\u0661\u0662"},
-    "user in the address": {"address": "me:pw@10.0.0.1:80"},
-    "path in the address": {"address": "10.0.0.1:80/x"},
-    "path before the port": {"address": "10.0.0.1/x:80"},
-    "space in the address": {"address": "10.0.0. 1:80"},
-    "line break in the address": {"address": "10.0.0.1:80\r\nX: y"},
-    "line break at the end": {"address": "10.0.0.1:80\n"},
-    "address in other letters": {"address": "w\u00f6rker:80"},
-    "lone surrogate in the address": {"address": "\ud800:80"},
-    "number too large in the address": {"address": "10.0.0.999:80"},
-    "address of 200 kB": {"address": "a" * 200_000 + ":80"},
-    "IPv6 without brackets": {"address": "fe80::1:80"},
-    "IPv6 that is none": {"address": "[fe80::1::2]:80"},
-}
-ODD_VALUES = {
-    "lists nested 100,000 deep": b"[" * 100_000,
-    "objects nested 100,000 deep": b'{"a":' * 100_000,
-    "number of 5,000 digits": b'{"seq":' + b"1" * 5000 + b"}",
-    "no value": b"",
-    "no UTF-8": b"\xff\xfe{}",
-    "a list": b"[]",
-    "null": b"null",
-}
-ODD_NAMES = [*ODD_CHANGES, *ODD_VALUES]
 
 
 def odd_value(branch, name):
-    """Return a worker's entry with one odd part."""
-    if name in ODD_VALUES:
-        return ODD_VALUES[name]
-    row = json.loads(branch.worker_by_name["w0"].registration("w0:80", "desk", []))
-    return json.dumps({**row, **ODD_CHANGES[name]}).encode()
+    """Return the entry of worker w0 with one odd part."""
+    value = branch.worker_by_name["w0"].registration("w0:80", "desk", ["a", "r1"])
+    return make_odd(name, value)
 
 
 def plan_run(task, run):
--- a/savorydale/tests/process_soak.py
+++ b/savorydale/tests/process_soak.py
@@ -110,6 +110,8 @@
 class Soak:
     """One seed: jobs and faults, then a time without either, then checks."""
 
+    lease_max_ms = LEASE_MAX_MS
+
     def __init__(self, seed: int, folder: pathlib.Path):
         self.rng = random.Random(seed)
         self.checker = InvariantChecker()
@@ -152,13 +154,15 @@
     async def _add_worker(self, name: str, stack: contextlib.AsyncExitStack) -> None:
         worker = TaskWorkerStandin(
             name,
-            LEASE_MAX_MS,
+            self.lease_max_ms,
             self._plan_run,
             self.checker.on_start,
             self.checker.on_end,
             clock_rate=self.rng.uniform(0.98, 1.02),
         )
-        address = await stack.enter_async_context(serve(worker, free_port()))
+        address = await stack.enter_async_context(
+            serve(worker, free_port(), lambda: worker.worker)
+        )
         link = FaultyLink(address)
         await stack.enter_async_context(link.open())
         self.workers[name] = worker
@@ -170,7 +174,7 @@
         address = await stack.enter_async_context(serve(store, free_port()))
         link = FaultyLink(address)
         await stack.enter_async_context(link.open())
-        process = EntryProcess(name, link.address, self._folder, LEASE_MAX_MS)
+        process = EntryProcess(name, link.address, self._folder, self.lease_max_ms)
         entry = Entry(process, store, link)
         await stack.enter_async_context(entry.callers_link.open())
         self.entries.append(entry)
--- a/standins/entry_process.py
+++ b/standins/entry_process.py
@@ -88,6 +88,18 @@
         self.subprocess.send_signal(stop_signal)
         await self.subprocess.wait()
 
+    @property
+    def pid(self) -> int | None:
+        """Return the identifier of the process, or ``None`` if it does not run."""
+        if self.subprocess is None or self.subprocess.returncode is not None:
+            return None
+        return self.subprocess.pid
+
+    def logged_events(self, event: str) -> int:
+        """Return how many log lines an event has."""
+        text = self._log_path.read_text(errors="replace")
+        return text.count(f'"event": "{event}"')
+
     def logged_tracebacks(self) -> list[str]:
         """Return the log lines with a traceback, shortened."""
         text = self._log_path.read_text(errors="replace")
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from aiohttp import web
 
 from standins.row_store import Reply
 
+TARGET_HEADER = "Savorydale-Target-Instance"
+OTHER_INSTANCE = Reply(421, {})
+
 
 class Handler(Protocol):
     """Interface of a stand-in that can be served over HTTP."""
@@ -21,11 +24,19 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handler: Handler, port: int) -> AsyncIterator[str]:
-    """Serve ``handler`` on a loopback port and yield its address."""
+async def serve(
+    handler: Handler, port: int, read_instance: Callable[[], str] | None = None
+) -> AsyncIterator[str]:
+    """Serve ``handler`` on a loopback port and yield its address.
+
+    Requests for another instance than ``read_instance()`` are refused, if it is given.
+    """
 
     async def respond(request: web.Request) -> web.Response:
         raw = await request.read()
+        target = request.headers.get(TARGET_HEADER)
+        if read_instance is not None and target != read_instance():
+            return web.json_response(OTHER_INSTANCE.body, status=OTHER_INSTANCE.status)
         body = json.loads(raw) if raw else None
         reply = await handler.handle(
             request.method, request.path, dict(request.query), body
