Bound the log lines about a registration that cannot be read

What operators saw: one row that another program writes every 50 ms gave a line each time, 100 lines in 10 s, also when it alternated with the worker's own entry. Lines beyond a queue of 2,000 are dropped, so those about jobs go too.

Cause: each reading of an unreadable row was logged.

Evidence: test_entry_that_alternates_with_odd_copies_keeps_its_runs failed with `assert 100 <= 4`. The rest of the test passed before: the worker keeps its runs and gets new ones afterwards.

--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -8,6 +8,7 @@
 from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.orders.interface import WorkerInfo
 from savorydale.platform.registrations import decode_worker
+from savorydale.platform.skipped_rows import SkippedRows
 from savorydale.storage.rows import StoredRow
 from savorydale.utils.json_values import (
     JsonObject,
@@ -42,7 +43,9 @@
     ):
         self._on_change = on_change
         self._on_response = on_response
-        self._counters = counters
+        self._skipped = SkippedRows(
+            "registration is skipped", "registration.unreadable", counters
+        )
         self._info_by_worker: dict[str, WorkerInfo] = {}
 
     def replace_all(self, rows: tuple[StoredRow, ...], version: int) -> None:
@@ -61,11 +64,7 @@
                 self._info_by_worker[worker] = decode_worker(worker, row.value)
             except RowFormatError as error:
                 self._info_by_worker.pop(worker, None)
-                self._counters.increment("registration.unreadable")
-                log.info(
-                    "registration is skipped",
-                    extra={"worker": worker, "reason": str(error)},
-                )
+                self._skipped.record(worker, str(error))
         self._on_change(dict(self._info_by_worker))
 
     def record_response(self, store_ms: int) -> None:
--- a/savorydale/tests/odd_registrations_tests.py
+++ b/savorydale/tests/odd_registrations_tests.py
@@ -1,6 +1,7 @@
 """An odd entry among those of the workers names no worker to use; the others hold."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -91,3 +92,25 @@
         branch.store.put("servers", "w0", odd)
         await asyncio.sleep(3)
         assert branch.counters.count("lease.given_up") == 0
+
+
+@on_virtual_time
+async def test_entry_that_alternates_with_odd_copies_keeps_its_runs(caplog):
+    caplog.set_level(logging.INFO)
+    async with open_branch(plan_run) as branch:
+        await branch.submit("e0", LASTING_JOB, LASTING_STEP)
+        await branch.wait_until(lambda: run_count(branch, "w0") == 1, 5)
+        for number in range(200):
+            if number % 2:
+                branch.register("w0")
+            else:
+                name = ODD_NAMES[number // 2 % len(ODD_NAMES)]
+                branch.store.put("servers", "w0", odd_value(branch, name))
+            await asyncio.sleep(0.05)
+        await assert_job_completes(branch, JOB)
+        assert started_on(branch, "w0", JOB)
+        assert run_count(branch, "w0") == 1
+        assert branch.checker.starts.total() == STEP.task_count + 3
+        assert branch.counters.count("registration.unreadable") == 100
+        messages = [record.getMessage() for record in caplog.records]
+        assert messages.count("registration is skipped") <= 4
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -224,7 +224,12 @@
     changes = []
     registry = WorkerRegistry(changes.append, counters)
     valid = StoredRow(RowKey("servers", "i-2"), encode_registration(), 1)
-    registry.replace_all((StoredRow(RowKey("servers", "i-1"), value, 1), valid), 1)
+    invalid = StoredRow(RowKey("servers", "i-1"), value, 1)
+
+    async def replace_all():
+        registry.replace_all((invalid, valid), 1)
+
+    asyncio.run(replace_all())
     assert list(changes[-1]) == ["i-2"]
     assert counters.count("registration.unreadable") == 1
 
