--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -28,7 +28,6 @@
     ConfigurationFollower,
     WorkerRegistry,
     decode_configuration,
-    decode_worker,
 )
 from savorydale.platform.http import (
     ConnectionRefused,
@@ -36,6 +35,7 @@
     NoReplyError,
     NotSentError,
 )
+from savorydale.platform.registrations import decode_worker
 from savorydale.platform.store import PlatformStore
 from savorydale.platform.submissions import decode_job_request
 from savorydale.platform.workers import PlatformWorkers
@@ -224,7 +224,12 @@
     changes = []
     registry = WorkerRegistry(changes.append, counters)
     valid = StoredRow(RowKey("servers", "i-2"), encode_registration(), 1)
-    registry.replace_all((StoredRow(RowKey("servers", "i-1"), value, 1), valid), 1)
+    invalid = StoredRow(RowKey("servers", "i-1"), value, 1)
+
+    async def replace_all():
+        registry.replace_all((invalid, valid), 1)
+
+    asyncio.run(replace_all())
     assert list(changes[-1]) == ["i-2"]
     assert counters.count("registration.unreadable") == 1
 
