--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -32,6 +32,7 @@
 from savorydale.placement.advice import PolicyService, StepName
 from savorydale.queueing.order import objective_seconds
 from savorydale.scheduler.admission import JobAdmission
+from savorydale.scheduler.crash_handler import CrashHandler
 from savorydale.scheduler.housekeeping import Housekeeping
 from savorydale.scheduler.job_feed import JobFeed
 from savorydale.scheduler.load_report import LoadReport
@@ -48,7 +49,6 @@
 PLANNING_PAUSE_RATIO = 2.0  # so that planning takes at most a third of the time
 FEED_WAIT_SECONDS = 1.0
 TICK_SECONDS = 0.1
-MAX_LOGGED_SUSPECTS = 20
 MAX_FIRST_CONTACTS = 64  # workers that are connected to at the same time
 MILLISECONDS_PER_SECOND = 1000
 NO_CAPACITY = Resources(0, 0, 0)
@@ -100,6 +100,7 @@
             self.set_aside_job,
         )
         self._mover = RunMover(self._state, counters)
+        self._crash_handler = CrashHandler(self._state, counters, self._fail_job)
         self._load_report = LoadReport(self._state, self._planner.take_counts)
         self._housekeeping = Housekeeping(
             self._state,
@@ -354,66 +355,17 @@
 
     def on_crash(self, link: WorkerLink, suspects: list[Run]) -> None:
         """Count the crash of a worker against the tasks that may have caused it."""
-        is_attributed = len(suspects) == 1
-        self._counters.increment("worker.crashed")
-        log.warning(
-            "worker has crashed",
-            extra={
-                "worker": link.worker,
-                "suspects": [str(run.task) for run in suspects[:MAX_LOGGED_SUSPECTS]],
-                "suspect_count": len(suspects),
-                "attributed": is_attributed,
-            },
-        )
-        for run in suspects:
-            self._suspect(link, run, is_attributed)
+        self._crash_handler.on_crash(link, suspects)
         self.wake()
 
-    def _suspect(self, link: WorkerLink, run: Run, is_attributed: bool) -> None:
-        """Count a crash against the task of a run, and give it up if it has enough."""
-        found = self._state.job_tracker.find_task(run.task)
-        if found is None:
-            return
-        step, task = found
-        if task.done or task.run != run.number or step.job.status.is_terminal:
-            return
-        self._counters.increment("task.crash_suspected")
-        self._state.job_tracker.record_crash(step, task, link.worker, is_attributed)
-        if not task.crashes.is_given_up:
-            return
-        self._counters.increment("task.given_up_after_crashes")
-        log.warning(
-            "task is given up",
-            extra={
-                "job": run.task.job,
-                "task": str(run.task),
-                "run": run.number,
-                "worker": link.worker,
-                "crashes": task.crashes.suspected,
-                "attributed": task.crashes.attributed,
-            },
-        )
-        self._finish(step.job, JobStatus.FAILED)
-        self._state.job_tracker.remove_if_idle(step.job)
-
     def on_probation_passed(self, link: WorkerLink, run: Run) -> None:
         """Clear the task of a run that did not crash its worker."""
-        if run.task not in self._state.job_tracker.suspect_by_id:
-            return
-        found = self._state.job_tracker.find_task(run.task)
-        if found is None or found[1].run != run.number:
-            return
-        self._state.job_tracker.clear_suspicion(*found)
-        log.info(
-            "task is cleared",
-            extra={
-                "job": run.task.job,
-                "task": str(run.task),
-                "run": run.number,
-                "worker": link.worker,
-            },
-        )
-        self.wake()
+        if self._crash_handler.on_probation_passed(link, run):
+            self.wake()
+
+    def _fail_job(self, job: JobProgress) -> None:
+        self._finish(job, JobStatus.FAILED)
+        self._state.job_tracker.remove_if_idle(job)
 
     def on_started(self, link: WorkerLink, run: Run) -> None:
         """Throttle new backfill at once if the services on the worker require it."""
