Query the policy again after an unexpected error

A query that raises an error stays pending for the rest of the term, and four of them stop all queries: steps that need advice never start. Change: the end of a query is recorded however it ends. Result: the new test passes; before, `assert 0 == 4`: no step was queried again within 3 s. The tests in scheduler/ pass.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -402,9 +402,12 @@
 
     async def _query_policy(self, step: StepName, workers: list[str]) -> None:
         assert self._policy is not None
-        answer = await self._policy.query(step, workers)
-        now = asyncio.get_running_loop().time()
-        self._state.advice.record_answer(step, workers, answer, now)
+        answer = None
+        try:
+            answer = await self._policy.query(step, workers)
+        finally:
+            now = asyncio.get_running_loop().time()
+            self._state.advice.record_answer(step, workers, answer, now)
 
     def _observe_batch_demand(
         self, waiting: list[tuple[StepProgress, list[Task]]], now: float
--- a/savorydale/tests/scheduler/planner_fixture.py
+++ b/savorydale/tests/scheduler/planner_fixture.py
@@ -9,12 +9,14 @@
 from savorydale.orders.interface import Resources, WorkerInfo
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
+from savorydale.placement.advice import PolicyAnswer
 from savorydale.placement.choice import WorkerChooser
 from savorydale.scheduler import planner as planner_module
 from savorydale.scheduler.planner import Planner, PlannerLimits
 from savorydale.scheduler.state import SchedulerState
 
 QUEUE = QueueSettings("q", "h", "/q/", "desk", 2, 4, 2.0, 1000.0)
+ADVISED = QUEUE._replace(needs_advice=True)
 SERVICE = StepSpec(1, 4000, 1000, long_running=True, image="feed", latency_target_ms=18)
 BACKFILL = StepSpec(10, 2000, 1000, estimate_ms=2000, image="report", backfill=True)
 BASE_TAIL_MS = 7.0
@@ -71,6 +73,20 @@
         return starts
 
 
+class FailingPolicy:
+    """A policy service that allows nothing; its first queries raise an error."""
+
+    def __init__(self, failures=0):
+        self.failures = failures
+        self.steps = []
+
+    async def query(self, step, workers):
+        self.steps.append(step)
+        if len(self.steps) <= self.failures:
+            raise RuntimeError("unexpected")
+        return PolicyAnswer({}, 0.0)
+
+
 @contextlib.contextmanager
 def slow_scoring(monkeypatch, seconds):
     """Advance the clock by ``seconds`` for each step whose workers are scored."""
--- a/savorydale/tests/scheduler/planner_tests.py
+++ b/savorydale/tests/scheduler/planner_tests.py
@@ -6,12 +6,15 @@
 
 from savorydale.jobs.model import StepSpec, TaskId
 from savorydale.orders.runs import Run
+from savorydale.placement.advice import MAX_PENDING_QUERIES
 from savorydale.placement.choice import MIN_BACKFILL_SPEED
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import (
+    ADVISED,
     BACKFILL,
     BASE_TAIL_MS,
     SERVICE,
+    FailingPolicy,
     PlannerFixture,
     clear_runs,
     slow_scoring,
@@ -149,3 +152,14 @@
     suspect(fixture, fixture.submit("j", gang))
     starts = await fixture.plan(0.1)
     assert sorted(start.link.worker for start in starts) == ["w0", "w1"]
+
+
+@on_virtual_time
+async def test_step_is_queried_again_after_an_unexpected_error_of_the_query():
+    policy = FailingPolicy(failures=MAX_PENDING_QUERIES)
+    fixture = PlannerFixture(workers=1, policy=policy)
+    for number in range(MAX_PENDING_QUERIES):
+        fixture.submit(f"{number:016x}", SERVICE, ADVISED)
+    await fixture.plan(3)
+    again = policy.steps[MAX_PENDING_QUERIES:]
+    assert len({step.job for step in again}) == MAX_PENDING_QUERIES
--- a/savorydale/tests/scheduler/waiting_tests.py
+++ b/savorydale/tests/scheduler/waiting_tests.py
@@ -16,8 +16,8 @@
 from savorydale.tests.branch import open_branch
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import (
+    ADVISED,
     BACKFILL,
-    QUEUE,
     SERVICE,
     PlannerFixture,
     clear_runs,
@@ -27,7 +27,6 @@
 from standins.task_worker import Plan
 
 JOB = "00000000000000a1"
-ADVISED = QUEUE._replace(needs_advice=True)
 EPOCH = 7
 LARGE = SERVICE._replace(cpu_millicores=20_000)
 
