Give each waiting step a turn while rounds are cut off

Rounds consider steps by rank until 50 ms are over, and a refusal lapses after 2 s: where more steps are refused than rounds consider in 2 s, the same high ranks use up every round, and lower ranks have no turn. Where the ranking alone takes 50 ms, nothing is placed at all. Also, the refusal of one suspect stopped the other suspects of its step, even one that had a worker reserved.

Change: the last 0.3 of a round that does not reach all steps goes to those that were not considered for longest, services and other steps in turn, two of them in any case: each is considered in as many rounds as steps of its kind wait. 10 ms are left for placing, however long the ranking takes. A refusal is remembered for a step, or for one suspect. A step that no worker has capacity, label or places for is refused without scoring; the free capacity at the beginning of a round is collected once, and looked up by demand.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -26,15 +26,20 @@
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.turns import TurnKey, Turns, WaitingTasks
 from savorydale.scheduler.waiting import (
     Refusal,
     WaitDecisions,
     WaitReason,
     find_refusal_reason,
 )
-from savorydale.storage.rows import RowKey
 
 MAX_ROUND_SECONDS = 0.05
+# Share of a round's time, after the ranking, for steps that were not considered for
+# longest, if not all are considered in the order of their rank.
+TURN_RATIO = 0.3
+MIN_TURNS = 2  # of each round: a service and another step
+MIN_PLACING_SECONDS = 0.01  # of each round, however long the ranking takes
 REFUSAL_SECONDS = 2.0  # capacity may have been released since
 MILLISECONDS_PER_SECOND = 1000
 
@@ -58,6 +63,14 @@
     at: float
 
 
+class PlanningRound(NamedTuple):
+    """What one round knows; it began at ``now`` on the loop's clock."""
+
+    now: float
+    fleets: Fleets
+    failed_placements: FailedPlacements
+
+
 class PlannerLimits(NamedTuple):
     """Limits on occurrences of a job.
 
@@ -88,7 +101,8 @@
         self._read_configuration = read_configuration
         self._policy = policy
         self._starts: list[PendingStart] = []
-        self._refusal_by_step: dict[tuple[RowKey, bool], RememberedRefusal] = {}
+        self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
+        self._turns = Turns()
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._counts = PlanningCounts()
@@ -108,9 +122,13 @@
         """Place ready tasks that fit, in the order of their rank.
 
         Returns whether all steps were considered: a round is cut off after
-        `MAX_ROUND_SECONDS`, so that it does not delay the rest of the process. The next
-        rounds skip steps that were refused, until a round considers all others, but for
-        `REFUSAL_SECONDS` at most.
+        `MAX_ROUND_SECONDS`, or `MIN_PLACING_SECONDS` after a longer ranking, so that it
+        does not delay the rest of the process. The next rounds skip steps that were
+        refused, until a round considers all others, but for `REFUSAL_SECONDS` at most.
+
+        The last `TURN_RATIO` of such a round goes to the steps that were not considered
+        for longest, `MIN_TURNS` of them in any case. So each service is considered at
+        least once in as many rounds as services wait, and likewise each other step.
         """
         started_at = asyncio.get_running_loop().time()
         self.wait_decisions.record_round()
@@ -121,7 +139,6 @@
         return is_complete
 
     def _plan_round(self, now: float) -> bool:
-        loop = asyncio.get_running_loop()
         # An occurrence may start ``early_ms`` before it is due; half of that is used.
         unix_ms = time.time() * MILLISECONDS_PER_SECOND + self._limits.early_ms / 2
         steps = self._ready_steps(unix_ms)
@@ -131,63 +148,125 @@
         self._begin_isolation(now)
         waiting = [part for item in waiting for part in self._split_suspects(*item)]
         fleets = Fleets(self._state, now)
-        failed_placements = FailedPlacements()
-        ranked_steps = self._rank_waiting(waiting, fleets, now)
-        self._counts.steps_waiting += len(ranked_steps)
-        for reached, (_, step, tasks) in enumerate(ranked_steps):
-            if loop.time() - now > MAX_ROUND_SECONDS:
-                self._counts.steps_not_reached += len(ranked_steps) - reached
-                for _, left_out, its_tasks in ranked_steps[reached:]:
-                    self.wait_decisions.record_skip(
-                        left_out.spec, its_tasks, WaitReason.ROUNDS_CUT_OFF, now
-                    )
+        ranked = self._rank_waiting(waiting, fleets, now)
+        self._counts.steps_waiting += len(ranked)
+        self._begin_turns(ranked, now)
+        this_round = PlanningRound(now, fleets, FailedPlacements())
+        is_complete = self._plan_ranked(ranked, this_round)
+        if is_complete:
+            self._refusal_by_key.clear()
+        return is_complete
+
+    def _begin_turns(self, ranked: list[WaitingTasks], now: float) -> None:
+        """Forget what is known about steps that no longer wait."""
+        keys = {each.key for each in ranked}
+        self._turns.begin_round(keys, now)
+        self._refusal_by_key = {
+            key: refusal for key, refusal in self._refusal_by_key.items() if key in keys
+        }
+
+    def _plan_ranked(
+        self, ranked: list[WaitingTasks], this_round: PlanningRound
+    ) -> bool:
+        """Consider steps by rank, then by turns; return whether all were considered."""
+        loop = asyncio.get_running_loop()
+        ends_at = max(
+            this_round.now + MAX_ROUND_SECONDS, loop.time() + MIN_PLACING_SECONDS
+        )
+        turns_begin_at = ends_at - TURN_RATIO * (ends_at - loop.time())
+        skipped: list[WaitingTasks] = []
+        for position, waiting in enumerate(ranked):
+            if loop.time() > turns_begin_at:
+                unreached = ranked[position:]
+                break
+            if not self._consider(waiting, this_round, is_turn=False):
+                skipped.append(waiting)
+        else:
+            return True
+        ordered = self._turns.order([*skipped, *unreached])
+        for number, waiting in enumerate(ordered):
+            if number >= MIN_TURNS and loop.time() > ends_at:
+                first_unreached = unreached[0].position
+                self._record_cut(
+                    [
+                        each
+                        for each in ordered[number:]
+                        if each.position >= first_unreached
+                    ],
+                    this_round.now,
+                )
                 return False
-            self._consider(step, tasks, fleets, failed_placements, now)
-        self._refusal_by_step.clear()
+            self._consider(waiting, this_round, is_turn=True)
         return True
 
+    def _record_cut(self, unreached: list[WaitingTasks], now: float) -> None:
+        self._counts.steps_not_reached += len(unreached)
+        for each in unreached:
+            self.wait_decisions.record_skip(
+                each.step.spec, each.tasks, WaitReason.ROUNDS_CUT_OFF, now
+            )
+
     def _consider(
-        self,
-        step: StepProgress,
-        tasks: list[Task],
-        fleets: Fleets,
-        failed_placements: FailedPlacements,
-        now: float,
-    ) -> None:
-        """Try to place tasks of a step, unless it is known that no worker takes one."""
-        is_suspect = self._isolation.is_suspect(tasks)
-        refusal = self._recent_refusal(step, is_suspect, now)
-        if refusal is not None:
+        self, waiting: WaitingTasks, this_round: PlanningRound, is_turn: bool
+    ) -> bool:
+        """Try to place waiting tasks; return whether they were considered.
+
+        They are not if a recent round has found no worker for them, or another task of
+        their step. On their turn, only a refusal of the same round counts.
+        """
+        now, fleets, _ = this_round
+        step, tasks = waiting.step, waiting.tasks
+        fleet = fleets.for_service(self.service_of(step.job.queue))
+        if step.spec.gang and len(tasks) < step.unfinished_count:
+            self._turns.record(waiting.key, now)
+            self.wait_decisions.record_skip(
+                step.spec, tasks, WaitReason.GANG_NOT_ENDED, now
+            )
+            return True
+        if not fleet.free_before.may_fit(step.spec):
+            self._turns.record(waiting.key, now)
+            self._counts.count_refusal(step.spec, [])
+            self._explain_refusal(waiting, fleet, now)
+            return True
+        refusal = self._recent_refusal(waiting.key, now)
+        if refusal is not None and (not is_turn or refusal.at == now):
             self._record_remembered(step, tasks, refusal, now)
-            return
-        service = self.service_of(step.job.queue)
-        fleet = fleets.for_service(service)
-        if is_suspect:
+            return False
+        self._turns.record(waiting.key, now)
+        self._try_to_place(waiting, fleet, this_round)
+        return True
+
+    def _try_to_place(
+        self, waiting: WaitingTasks, fleet: Fleet, this_round: PlanningRound
+    ) -> None:
+        """Look for workers for waiting tasks, and record it if there are too few."""
+        now, _, failed_placements = this_round
+        step, tasks = waiting.step, waiting.tasks
+        if waiting.is_suspect:
             if not self._place_suspects(step, tasks, fleet, now):
-                self._record_refusal(step, tasks, fleet, is_suspect, now)
+                self._record_refusal(waiting, fleet, now)
             return
+        open_fleet = self._open_to_others(fleet)
         if self._needs_advice(step):
-            if not self._place_allowed(step, tasks, self._open_to_others(fleet), now):
-                self._explain_refusal(step, tasks, fleet, is_suspect, now)
+            if not self._place_allowed(step, tasks, open_fleet, now):
+                self._explain_refusal(waiting, fleet, now)
             return
+        service = self.service_of(step.job.queue)
         min_speed = self._min_speed(step, tasks, fleet, now)
         if failed_placements.covers(service, step.spec, min_speed):
             self.wait_decisions.record_skip(step.spec, tasks, WaitReason.COVERED, now)
             return
-        open_fleet = self._open_to_others(fleet)
         if not self._place(step, tasks, open_fleet, min_speed, now):
-            self._record_refusal(step, tasks, fleet, is_suspect, now)
+            self._record_refusal(waiting, fleet, now)
             fits_somewhere = open_fleet.fits(step.spec)
             failed_placements.add(service, step.spec, min_speed, fits_somewhere)
 
-    def _recent_refusal(
-        self, step: StepProgress, is_suspect: bool, now: float
-    ) -> RememberedRefusal | None:
+    def _recent_refusal(self, key: TurnKey, now: float) -> RememberedRefusal | None:
         """Return the refusal of a step, if a recent round has found no worker for it.
 
         Under overload no round may consider all steps for long, so a refusal lapses.
         """
-        refusal = self._refusal_by_step.get((step.key, is_suspect))
+        refusal = self._refusal_by_key.get(key)
         if refusal is None or now - refusal.at >= REFUSAL_SECONDS:
             return None
         return refusal
@@ -208,48 +287,29 @@
         detail = f"{refusal.task} {now - refusal.at:.2f} s ago"
         self.wait_decisions.record_skip(step.spec, tasks, reason, now, detail)
 
-    def _record_refusal(
-        self,
-        step: StepProgress,
-        tasks: list[Task],
-        fleet: Fleet,
-        is_suspect: bool,
-        now: float,
-    ) -> None:
-        """Remember that no worker could take a task of a step, and why."""
-        refused = next(task for task in tasks if task.is_waiting)
-        refusal = RememberedRefusal(refused.id, now)
-        self._refusal_by_step[step.key, is_suspect] = refusal
-        self._explain_refusal(step, tasks, fleet, is_suspect, now)
+    def _record_refusal(self, waiting: WaitingTasks, fleet: Fleet, now: float) -> None:
+        """Remember that no worker could take one of the waiting tasks, and why."""
+        refused = next(task for task in waiting.tasks if task.is_waiting)
+        self._refusal_by_key[waiting.key] = RememberedRefusal(refused.id, now)
+        self._explain_refusal(waiting, fleet, now)
 
-    def _explain_refusal(
-        self,
-        step: StepProgress,
-        tasks: list[Task],
-        fleet: Fleet,
-        is_suspect: bool,
-        now: float,
-    ) -> None:
+    def _explain_refusal(self, waiting: WaitingTasks, fleet: Fleet, now: float) -> None:
         """Record why no worker could take the tasks of a service that still wait."""
-        if not step.spec.long_running:
+        if not waiting.step.spec.long_running:
             return
-        waiting = [task for task in tasks if task.is_waiting]
         self.wait_decisions.record_refusal(
-            waiting,
+            waiting.key,
+            [task for task in waiting.tasks if task.is_waiting],
             now,
-            lambda: self._find_refusal_reason(step, waiting, fleet, is_suspect, now),
+            lambda: self._find_refusal_reason(waiting, fleet, now),
         )
 
     def _find_refusal_reason(
-        self,
-        step: StepProgress,
-        tasks: list[Task],
-        fleet: Fleet,
-        is_suspect: bool,
-        now: float,
+        self, waiting: WaitingTasks, fleet: Fleet, now: float
     ) -> WaitReason:
+        step, tasks = waiting.step, waiting.tasks
         candidates = fleet.candidates
-        if is_suspect:
+        if waiting.is_suspect:
             allowed = self._isolation.candidates_for_suspect(tasks[0], candidates)
         else:
             allowed = self._isolation.candidates_for_others(candidates)
@@ -263,7 +323,7 @@
             }
         refusal = Refusal(
             step.spec,
-            is_suspect,
+            waiting.is_suspect,
             step.count_by_worker(),
             candidates,
             open_workers,
@@ -357,21 +417,29 @@
         waiting: list[tuple[StepProgress, list[Task]]],
         fleets: Fleets,
         now: float,
-    ) -> list[tuple[PlacementRank, StepProgress, list[Task]]]:
+    ) -> list[WaitingTasks]:
         """Return the waiting steps sorted by rank; replicas are listed one by one."""
-        ranked = []
+        ranked: list[tuple[PlacementRank, StepProgress, list[Task]]] = []
         for step, tasks in waiting:
             if not step.spec.long_running:
                 ranked.append((rank_step(step, now), step, tasks))
                 continue
             fleet = fleets.for_service(self.service_of(step.job.queue))
-            has_capacity = fleet.has_ample_capacity_for(step.spec)
+            has_capacity = fleet.free_before.was_ample_for(step.spec)
             if step.spec.gang:
                 ranked.append((rank_step(step, now, has_capacity), step, tasks))
                 continue
             ranks = rank_replicas(step, tasks, now, has_capacity)
             ranked += [(rank, step, [task]) for rank, task in ranks]
-        return sorted(ranked, key=lambda item: item[0])
+        ranked.sort(key=lambda item: item[0])
+        return [
+            WaitingTasks(position, rank, step, tasks, self._turn_key(step, tasks))
+            for position, (rank, step, tasks) in enumerate(ranked)
+        ]
+
+    def _turn_key(self, step: StepProgress, tasks: list[Task]) -> TurnKey:
+        is_suspect = self._isolation.is_suspect(tasks)
+        return TurnKey(step.key, tasks[0].id if is_suspect else None)
 
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
@@ -443,20 +511,19 @@
         """
         if step.spec.backfill and min_speed < MIN_BACKFILL_SPEED:
             tasks = tasks[:1]
-        candidates = fleet.candidates
+        count_by_worker = step.count_by_worker()
+        candidates = fleet.usable_for(step.spec, count_by_worker)
+        if not candidates:
+            self._counts.count_refusal(step.spec, candidates)
+            return False
         context = PlacementContext(
-            step.count_by_worker(),
+            count_by_worker,
             self._speeds(step, candidates),
             self._similarities(step, candidates),
             min_speed,
             self._service_headroom(step, fleet),
             fleet.is_full,
         )
-        if step.spec.gang and len(tasks) < step.unfinished_count:
-            self.wait_decisions.record_skip(
-                step.spec, tasks, WaitReason.GANG_NOT_ENDED, now
-            )
-            return True
         chooser = WorkerChooser(step, candidates, context)
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
@@ -508,7 +575,6 @@
                 self._state.link_by_worker[candidate.worker], step.spec
             )
             for candidate in candidates
-            if candidate.load.fits(step.spec)
         }
 
     def _similarities(
@@ -522,7 +588,6 @@
                 self._state.link_by_worker[candidate.worker], step.spec
             )
             for candidate in candidates
-            if candidate.load.fits(step.spec)
         }
 
     def _align_gang(self, chosen: list[tuple[Task, Run, WorkerLink]]) -> None:
--- a/savorydale/scheduler/wait_report.py
+++ b/savorydale/scheduler/wait_report.py
@@ -70,7 +70,7 @@
         tasks = {absence.task.id for absence in absences}
         self._absent_since_by_task = _only(self._absent_since_by_task, tasks)
         self._logged_at_by_task = _only(self._logged_at_by_task, tasks)
-        self._decisions.retain(tasks)
+        self._decisions.retain(tasks, now)
         overdue = [each for each in absences if each.seconds >= MIN_WAIT_SECONDS]
         for reason, count in _count_by_reason(overdue).items():
             self._counters.increment(f"task.waits.{reason}", count)
--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -6,7 +6,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -16,8 +16,8 @@
 from savorydale.placement.choice import Candidate
 from savorydale.scheduler.state import SchedulerState, WorkerObstacle
 
-# The reason of a refusal is found by looking at all workers, so not at each one.
-REASON_INTERVAL_SECONDS = 0.5
+# The reason of a refusal is found by looking at all workers, so not each time.
+REASON_INTERVAL_SECONDS = 1.0
 
 
 class WaitReason(StrEnum):
@@ -89,7 +89,13 @@
     detail: str = ""
     tried_reason: WaitReason | None = None
     tried_at: float | None = None
-    explained_at: float | None = None
+
+
+class Explanation(NamedTuple):
+    """Why a step was refused, found at ``at`` on the loop's clock."""
+
+    reason: WaitReason
+    at: float
 
 
 class WaitDecisions:
@@ -98,6 +104,7 @@
     def __init__(self, read_version: Callable[[], int]):
         self._read_version = read_version
         self._decision_by_task: dict[TaskId, WaitDecision] = {}
+        self._explanation_by_key: dict[Hashable, Explanation] = {}
         self._stopped_since: float | None = None
 
     def find(self, task: TaskId) -> WaitDecision | None:
@@ -113,8 +120,13 @@
             stopped.tried_at = decision.tried_at
         return stopped
 
-    def retain(self, tasks: Iterable[TaskId]) -> None:
-        """Forget all decisions but those on ``tasks``."""
+    def retain(self, tasks: Iterable[TaskId], now: float) -> None:
+        """Forget all decisions but those on ``tasks``, and old explanations."""
+        self._explanation_by_key = {
+            key: explanation
+            for key, explanation in self._explanation_by_key.items()
+            if now - explanation.at < REASON_INTERVAL_SECONDS
+        }
         kept = set(tasks)
         self._decision_by_task = {
             task: decision
@@ -146,22 +158,24 @@
             self._decide(task.id, reason, now, detail)
 
     def record_refusal(
-        self, tasks: Iterable[Task], now: float, find_reason: Callable[[], WaitReason]
+        self,
+        key: Hashable,
+        tasks: Iterable[Task],
+        now: float,
+        find_reason: Callable[[], WaitReason],
     ) -> None:
         """Record that no worker could take tasks of a service.
 
-        The reason is found at most once per `REASON_INTERVAL_SECONDS` for a task.
+        The reason is found at most once per `REASON_INTERVAL_SECONDS` for a key, which
+        stands for tasks that are alike.
         """
-        reason = None
+        explanation = self._explanation_by_key.get(key)
+        if explanation is None or now - explanation.at >= REASON_INTERVAL_SECONDS:
+            explanation = Explanation(find_reason(), now)
+            self._explanation_by_key[key] = explanation
         for task in tasks:
-            decision = self._decision_by_task.get(task.id)
-            if decision is None or not _is_explained(decision, now):
-                reason = reason or find_reason()
-                decision = self._decide(task.id, reason, now)
-                decision.tried_reason, decision.explained_at = reason, now
-            else:
-                self._decide(task.id, decision.tried_reason, now)
-            decision.tried_at = now
+            decision = self._decide(task.id, explanation.reason, now)
+            decision.tried_reason, decision.tried_at = explanation.reason, now
 
     def _decide(
         self, task: TaskId, reason: WaitReason, now: float, detail: str = ""
@@ -177,11 +191,6 @@
         return decision
 
 
-def _is_explained(decision: WaitDecision, now: float) -> bool:
-    explained_at = decision.explained_at
-    return explained_at is not None and now - explained_at < REASON_INTERVAL_SECONDS
-
-
 def find_refusal_reason(
     refusal: Refusal, state: SchedulerState, service: str, now: float
 ) -> WaitReason:
