Take a service's headroom from all workers of its service

The headroom that a service leaves, and whether there is ample capacity, were computed from the workers that were left for it, without those that are held for suspects of a crash or that the policy does not allow yet. With fewer workers the headroom of each is larger: a service with room was refused for as long. Change: both are computed from all workers of the service. Result: the new test passes; before, the service was not placed within 20 s (`assert None is not None`). The tests in scheduler/ and headroom_tests.py pass.

--- a/savorydale/scheduler/fleet.py
+++ b/savorydale/scheduler/fleet.py
@@ -86,10 +86,13 @@
     """The workers of a service that may get tasks.
 
     ``is_busy`` tells whether most of their CPU is used, ``is_full`` whether most of it
-    is reserved. ``free_before`` is what was free when the round began.
+    is reserved. ``free_before`` is what was free when the round began. ``candidates``
+    may leave out workers that are held for others, or that the policy does not allow;
+    ``all_candidates`` has them all.
     """
 
     candidates: list[Candidate]
+    all_candidates: list[Candidate]
     is_busy: bool
     is_full: bool
     free_before: FreeCapacity
@@ -121,7 +124,7 @@
         if not self.free_before.was_ample_for(spec):
             return False
         task_count = 0
-        for candidate in self.candidates:
+        for candidate in self.all_candidates:
             task_count += candidate.load.count_fitting(spec)
             if task_count >= AMPLE_CAPACITY_TASKS:
                 return True
@@ -142,6 +145,7 @@
         if fleet is None:
             candidates = self._state.candidates(service, self._now)
             fleet = Fleet(
+                candidates,
                 candidates,
                 is_busy(candidates),
                 is_full(candidates),
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -594,7 +594,7 @@
         """Return the capacity to keep free beside a service, 0 if there is plenty."""
         if not step.spec.long_running or fleet.has_ample_capacity_for(step.spec):
             return 0.0
-        return self._state.batch_demand.headroom_per_worker(len(fleet.candidates))
+        return self._state.batch_demand.headroom_per_worker(len(fleet.all_candidates))
 
     def _speeds(
         self, step: StepProgress, candidates: list[Candidate]
--- a/savorydale/tests/scheduler/planner_overload_tests.py
+++ b/savorydale/tests/scheduler/planner_overload_tests.py
@@ -188,3 +188,16 @@
     seconds = await seconds_until_placed(fixture, JOB, 20)
     assert seconds is not None
     assert seconds <= 0.2
+
+
+@on_virtual_time
+async def test_service_needs_no_headroom_though_a_worker_with_capacity_is_held():
+    fixture = PlannerFixture(workers=2)
+    clear_runs(fixture, "w0", "w1")
+    suspect(fixture, fixture.submit("suspect", SMALL_SERVICE))
+    assert len(await fixture.plan(0.1)) == 1  # its worker is held from here on
+    fixture.state.batch_demand.observe(1e9, asyncio.get_running_loop().time())
+    fixture.submit(JOB, LARGE_SERVICE)
+    seconds = await seconds_until_placed(fixture, JOB, 20)
+    assert seconds is not None
+    assert seconds <= MAX_WAIT_SECONDS
