Score the workers once for several replicas of a service

Cause: replicas are ranked one by one, in turns with those of other services, and all workers were scored anew for each of them.

The scores of a round are kept by service; workers whose load has changed are scored again. The similarity of two images is computed once per fit.

--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -66,10 +66,14 @@
 
 
 class ScoredWorker(NamedTuple):
-    """The index of a candidate and its cost; the lowest cost is the best."""
+    """The index of a candidate and its cost; the lowest cost is the best.
+
+    The cost holds as long as the worker's load has the same ``revision``.
+    """
 
     cost: float
     candidate_index: int
+    revision: int
 
 
 def unused_millicores(load: WorkerLoad) -> float:
@@ -131,7 +135,8 @@
 class WorkerChooser:
     """Chooses workers for the tasks of one step, one after the other.
 
-    All workers are scored once; a worker that was given a task is scored again.
+    All workers are scored once; a worker that was given a task is scored again. A
+    chooser may be used again later in a round, after `refresh`.
     """
 
     def __init__(
@@ -144,27 +149,56 @@
         self._candidates = candidates
         self._context = context
         self._scored_heap: list[ScoredWorker] = []
+        self._revisions = [candidate.load.revision for candidate in candidates]
         self._chosen_index = 0
         for index in range(len(candidates)):
             self._add(index)
 
+    def find_changed(self) -> list[Candidate]:
+        """Return the workers whose load has changed since they were scored."""
+        return [self._candidates[index] for index in self._changed_indexes()]
+
+    def refresh(self) -> None:
+        """Score the workers again whose load has changed since they were scored."""
+        for index in self._changed_indexes():
+            self._add(index)
+
+    def _changed_indexes(self) -> list[int]:
+        return [
+            index
+            for index, candidate in enumerate(self._candidates)
+            if candidate.load.revision != self._revisions[index]
+        ]
+
     def choose(self, task: Task) -> Candidate | None:
         """Return the best worker for a task, or ``None`` if no worker can take it.
 
         The worker is excluded from later choices until `record_placement` is called.
         """
-        if not self._scored_heap:
+        best = self._take_best(task)
+        if best is None:
             return None
+        self._chosen_index = best.candidate_index
+        return self._candidates[best.candidate_index]
+
+    def _take_best(self, task: Task) -> ScoredWorker | None:
         if task.excluded_workers:
-            best = max(
-                self._scored_heap, key=lambda scored: self._score_for(scored, task)
-            )
-            self._scored_heap.remove(best)
+            self._scored_heap = [
+                each for each in self._scored_heap if self._holds(each)
+            ]
+            self._scored_heap.sort(key=lambda scored: -self._score_for(scored, task))
+            best = self._scored_heap.pop(0) if self._scored_heap else None
             heapq.heapify(self._scored_heap)
-        else:
+            return best
+        while self._scored_heap:
             best = heapq.heappop(self._scored_heap)
-        self._chosen_index = best.candidate_index
-        return self._candidates[best.candidate_index]
+            if self._holds(best):
+                return best
+        return None
+
+    def _holds(self, scored: ScoredWorker) -> bool:
+        """Return whether a score is the last one of its worker."""
+        return scored.revision == self._revisions[scored.candidate_index]
 
     def record_placement(self) -> None:
         """Score the worker that was chosen last again, since its load has grown."""
@@ -172,9 +206,11 @@
 
     def _add(self, index: int) -> None:
         candidate = self._candidates[index]
+        revision = candidate.load.revision
+        self._revisions[index] = revision
         if _is_allowed(self._spec, candidate, self._context):
             score = _score(self._spec, candidate, self._context)
-            heapq.heappush(self._scored_heap, ScoredWorker(-score, index))
+            heapq.heappush(self._scored_heap, ScoredWorker(-score, index, revision))
 
     def _score_for(self, scored: ScoredWorker, task: Task) -> float:
         """Return a worker's score for one task, lower if the task has failed there."""
--- a/savorydale/placement/interference.py
+++ b/savorydale/placement/interference.py
@@ -82,11 +82,13 @@
     def __init__(self) -> None:
         self._fit_by_image: dict[str, TailFit] = {}
         self._changed: set[str] = set()
+        self._similarity_by_pair: dict[tuple[str, str], float] = {}  # of the last fit
 
     def restore(self, service_image: str, fit: TailFit) -> None:
         """Take over the fit of an earlier lease holder."""
         self._fit_by_image[service_image] = fit
         fit.fit()
+        self._similarity_by_pair.clear()
 
     def take_changed(self) -> dict[str, TailFit]:
         """Return the fits that changed since the last call, by service image."""
@@ -111,6 +113,7 @@
         """Update the coefficients of all fits."""
         for fit in self._fit_by_image.values():
             fit.fit()
+        self._similarity_by_pair.clear()
 
     def slope(self, service_image: str, backfill_image: str) -> float:
         """Return what backfill on a whole worker adds to the log tail latency."""
@@ -126,6 +129,14 @@
         """Return the cosine similarity of the slopes of two services, from 0 to 1."""
         if first_image == second_image:
             return 1.0
+        pair = (first_image, second_image)
+        similarity = self._similarity_by_pair.get(pair)
+        if similarity is None:
+            similarity = self._compute_similarity(*pair)
+            self._similarity_by_pair[pair] = similarity
+        return similarity
+
+    def _compute_similarity(self, first_image: str, second_image: str) -> float:
         first = self._slopes_of(first_image)
         second = self._slopes_of(second_image)
         norm = math.hypot(*first.values()) * math.hypot(*second.values())
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -33,6 +33,7 @@
     WaitReason,
     find_refusal_reason,
 )
+from savorydale.storage.rows import RowKey
 
 MAX_ROUND_SECONDS = 0.05
 # Share of a round's time, after the ranking, for steps that were not considered for
@@ -71,6 +72,15 @@
     failed_placements: FailedPlacements
 
 
+class ScoredFleet(NamedTuple):
+    """The scores of the workers of ``fleet`` on which a task of a step may start."""
+
+    fleet: Fleet
+    candidates: list[Candidate]
+    context: PlacementContext
+    chooser: WorkerChooser
+
+
 class PlannerLimits(NamedTuple):
     """Limits on occurrences of a job.
 
@@ -103,6 +113,7 @@
         self._starts: list[PendingStart] = []
         self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
         self._turns = Turns()
+        self._scored_by_service: dict[RowKey, ScoredFleet] = {}
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._counts = PlanningCounts()
@@ -153,6 +164,7 @@
         self._begin_turns(ranked, now)
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
+        self._scored_by_service.clear()
         if is_complete:
             self._refusal_by_key.clear()
         return is_complete
@@ -545,12 +557,11 @@
         is_slow = step.spec.backfill and min_speed < MIN_BACKFILL_SPEED
         if is_slow and not step.spec.gang:
             tasks = tasks[:1]
-        candidates = fleet.usable_for(step.spec, step.count_by_worker())
-        if not candidates:
-            self._counts.count_refusal(step.spec, candidates)
+        scored = self._score_workers(step, fleet, min_speed)
+        if scored is None:
+            self._counts.count_refusal(step.spec, [])
             return False
-        context = self._placement_context(step, fleet, candidates, min_speed)
-        chooser = WorkerChooser(step, candidates, context)
+        _, candidates, context, chooser = scored
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
             candidate = chooser.choose(task)
@@ -566,6 +577,7 @@
                 self._state.colocation.record_placement(link, step.spec)
                 speed = self._state.colocation.speed_of(link, step.spec)
                 context.speed_by_worker[link.worker] = speed
+            context.similarity_by_worker.update(self._similarities(step, [candidate]))
             chooser.record_placement()
             chosen.append((task, run, link))
         if step.spec.gang and len(chosen) < len(tasks):
@@ -580,6 +592,42 @@
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
+    def _score_workers(
+        self, step: StepProgress, fleet: Fleet, min_speed: float
+    ) -> ScoredFleet | None:
+        """Score the workers for a step, if it fits on any.
+
+        The replicas of a service share the scores during a round.
+        """
+        if not step.spec.long_running:
+            return self._score_anew(step, fleet, min_speed)
+        scored = self._scored_by_service.get(step.key)
+        if (
+            scored is None
+            or scored.fleet.candidates is not fleet.candidates
+            or scored.context.service_headroom != self._service_headroom(step, fleet)
+        ):
+            scored = self._score_anew(step, fleet, min_speed)
+            if scored is not None:
+                self._scored_by_service[step.key] = scored
+            return scored
+        changed = scored.chooser.find_changed()
+        scored.context.similarity_by_worker.update(self._similarities(step, changed))
+        scored.context.count_by_worker.clear()
+        scored.context.count_by_worker.update(step.count_by_worker())
+        scored.chooser.refresh()
+        return scored
+
+    def _score_anew(
+        self, step: StepProgress, fleet: Fleet, min_speed: float
+    ) -> ScoredFleet | None:
+        candidates = fleet.usable_for(step.spec, step.count_by_worker())
+        if not candidates:
+            return None
+        context = self._placement_context(step, fleet, candidates, min_speed)
+        chooser = WorkerChooser(step, candidates, context)
+        return ScoredFleet(fleet, candidates, context, chooser)
+
     def _placement_context(
         self,
         step: StepProgress,
--- /dev/null
+++ b/savorydale/tests/scheduler/shared_scores_tests.py
@@ -0,0 +1,55 @@
+"""Replicas of a service share the scores of the workers during a planning round."""
+
+import random
+
+import pytest
+
+from savorydale.placement.choice import WorkerChooser
+from savorydale.scheduler import planner as planner_module
+from savorydale.tests.harness import on_virtual_time
+from savorydale.tests.scheduler.planner_fixture import SERVICE, PlannerFixture
+
+MAX_SCORINGS_PER_SERVICE = 4
+
+
+@on_virtual_time
+async def test_workers_are_not_scored_for_each_replica_of_a_service(monkeypatch):
+    scorings = []
+
+    def score(*args):
+        scorings.append(args)
+        return WorkerChooser(*args)
+
+    monkeypatch.setattr(planner_module, "WorkerChooser", score)
+    fixture = PlannerFixture(workers=20)
+    fixture.submit("00000000000000a1", SERVICE._replace(task_count=16))
+    fixture.submit("00000000000000a2", SERVICE._replace(task_count=16))
+    fixture.planner.plan()
+    assert len(fixture.planner.take_starts()) == 32
+    assert len(scorings) <= 2 * MAX_SCORINGS_PER_SERVICE
+
+
+@pytest.mark.parametrize("seed", range(5))
+@on_virtual_time
+async def test_shared_scores_choose_the_same_workers_as_new_ones(monkeypatch, seed):
+    async def place(shares_scores):
+        rng = random.Random(seed)
+        fixture = PlannerFixture(workers=8)
+        if not shares_scores:
+            planner = fixture.planner
+            monkeypatch.setattr(planner, "_score_workers", planner._score_anew)
+        for number in range(6):
+            spec = SERVICE._replace(
+                task_count=rng.randint(4, 12),
+                cpu_millicores=rng.choice([1000, 3000, 6000]),
+                image=f"image-{rng.randint(0, 2)}",
+                max_per_worker=rng.choice([0, 1, 2]),
+            )
+            fixture.submit(f"{number:016x}", spec)
+        fixture.planner.plan()
+        starts = fixture.planner.take_starts()
+        return [(start.run.task, start.link.worker) for start in starts]
+
+    placed = await place(shares_scores=True)
+    assert placed
+    assert placed == await place(shares_scores=False)
