Query the policy again after an unexpected error

Callers would see a step never run that needs advice. An error that the policy's client does not expect ended the query's task and left its step marked as queried, for ever, with one of the four slots for pending queries. The client turns every error that is known into no answer (read only), so none was seen: a guard.

The error is logged and counts as no answer. The orders of worker_link.py have such a guard already.

Before: test_step_is_queried_again_after_an_unexpected_error E assert [] After: passes.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -293,7 +293,11 @@
 
     async def _query_policy(self, step: StepName, workers: list[str]) -> None:
         assert self._policy is not None
-        answer = await self._policy.query(step, workers)
+        try:
+            answer = await self._policy.query(step, workers)
+        except Exception:
+            log.exception("policy query failed", extra={"step": str(step)})
+            answer = None
         now = asyncio.get_running_loop().time()
         self._state.advice.record_answer(step, workers, answer, now)
 
--- /dev/null
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -0,0 +1,48 @@
+"""Tasks whose workers the policy service must allow do not wait for ever."""
+
+import asyncio
+
+from savorydale.jobs.model import JobSpec, StepSpec
+from savorydale.jobs.rows import JobRow, JobStatus
+from savorydale.placement.advice import PolicyAnswer
+from savorydale.tests.harness import on_virtual_time
+from savorydale.tests.scheduler.planner_tests import QUEUE, PlannerFixture
+
+ANSWER_SECONDS = 0.3
+STEP = StepSpec(1, 2000, 1000, estimate_ms=500)
+
+
+class PolicyFake:
+    """Allows all workers after `ANSWER_SECONDS`; the first queries may fail."""
+
+    def __init__(self, valid_seconds=3.0, errors=0):
+        self.valid_seconds = valid_seconds
+        self.errors = errors
+
+    async def query(self, step, workers):
+        await asyncio.sleep(ANSWER_SECONDS)
+        if self.errors > 0:
+            self.errors -= 1
+            raise RuntimeError("an error that the policy's client does not expect")
+        return PolicyAnswer(dict.fromkeys(workers, "t"), self.valid_seconds)
+
+
+class AdviceFixture(PlannerFixture):
+    """A planner whose queue needs advice."""
+
+    def __init__(self, workers, policy):
+        super().__init__(workers)
+        self.planner._policy = policy
+
+    def submit(self, job, spec, priority=2):
+        now = asyncio.get_running_loop().time()
+        queue = QUEUE._replace(needs_advice=True, priority=priority)
+        row = JobRow(JobSpec("", (spec,)), queue, 0)
+        return self.state.job_tracker.add(job, row, JobStatus.QUEUED, now)
+
+
+@on_virtual_time
+async def test_step_is_queried_again_after_an_unexpected_error():
+    fixture = AdviceFixture(3, PolicyFake(errors=1))
+    fixture.submit("00000000000000a1", STEP)
+    assert await fixture.plan(seconds=3)
