Use tickets that are valid for half a second or less

Callers would see a step that needs advice never run where the policy's tickets are valid for 0.5 s or less: half a second was kept as a margin for the start order, so such tickets were never used, and queried again and again. No deployment in force uses advice; none was seen to wait.

The margin is half of the validity at most. Class: a fixed margin on a time that the other side sets.

Before: test_tickets_that_are_valid_only_shortly_are_used E assert [] After: passes.

--- a/savorydale/placement/advice.py
+++ b/savorydale/placement/advice.py
@@ -9,7 +9,8 @@
 from typing import NamedTuple, Protocol
 
 MAX_WORKERS_PER_QUERY = 30
-MIN_VALIDITY_SECONDS = 0.5  # the start order must reach the worker before expiry
+MAX_MARGIN_SECONDS = 0.5  # the start order must reach the worker before expiry
+MAX_MARGIN_RATIO = 0.5  # of the validity, or tickets that expire soon were never used
 MAX_PENDING_QUERIES = 4
 
 
@@ -25,10 +26,10 @@
 
 
 class Ticket(NamedTuple):
-    """Proof that a worker may run a step; ``expires_at`` is on the loop's clock."""
+    """Proof that a worker may run a step; used until a time on the loop's clock."""
 
     text: str
-    expires_at: float
+    used_until: float
 
 
 class PolicyAnswer(NamedTuple):
@@ -69,7 +70,7 @@
         """Return a valid ticket, or an empty string."""
         advice = self._advice_by_step.get(step)
         ticket = advice.ticket_by_worker.get(worker) if advice else None
-        if ticket is None or ticket.expires_at - now < MIN_VALIDITY_SECONDS:
+        if ticket is None or now > ticket.used_until:
             return ""
         return ticket.text
 
@@ -111,13 +112,14 @@
         advice.is_query_pending = False
         if answer is None:
             return
-        expires_at = now + answer.valid_seconds
+        margin = min(MAX_MARGIN_SECONDS, MAX_MARGIN_RATIO * answer.valid_seconds)
+        used_until = now + answer.valid_seconds - margin
         for worker in queried:
             text = answer.ticket_by_worker.get(worker)
             if text is None:
                 advice.denied.add(worker)
             else:
-                advice.ticket_by_worker[worker] = Ticket(text, expires_at)
+                advice.ticket_by_worker[worker] = Ticket(text, used_until)
 
     def drop_ticket(self, step: StepName, worker: str) -> None:
         """Discard a ticket that a worker has refused."""
--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -46,3 +46,10 @@
     fixture = AdviceFixture(3, PolicyFake(errors=1))
     fixture.submit("00000000000000a1", STEP)
     assert await fixture.plan(seconds=3)
+
+
+@on_virtual_time
+async def test_tickets_that_are_valid_only_shortly_are_used():
+    fixture = AdviceFixture(3, PolicyFake(valid_seconds=0.4))
+    fixture.submit("00000000000000a1", STEP)
+    assert await fixture.plan(seconds=3)
