Query the policy only about workers that may host the step

Callers would see a step that needs advice never run beside four others that no worker can take: a query asked about all workers with enough free capacity, also those without the required label or at the limit per worker. On a large fleet the tickets of such steps expire before all workers are asked, so they use up the four pending queries for ever, as they come first in the order of the ranks.

The workers asked about are those that can_host allows, as in placement. Class: two checks of one condition that differ. Four steps of a higher rank whose workers are free may still take all queries for some time.

Before: test_steps_that_no_worker_can_take_do_not_use_up_the_queries E assert [] After: passes.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -17,6 +17,7 @@
     Candidate,
     PlacementContext,
     WorkerChooser,
+    can_host,
     min_backfill_speed,
     unused_millicores,
 )
@@ -275,11 +276,14 @@
     ) -> list[Candidate]:
         """Return the workers with a valid ticket; query the policy about the others."""
         name = StepName(step.job.id, step.occurrence, step.number)
-        fitting = [
-            candidate for candidate in candidates if candidate.load.fits(step.spec)
+        count_by_worker = step.count_by_worker()
+        hosts = [
+            candidate
+            for candidate in candidates
+            if can_host(step.spec, candidate, count_by_worker[candidate.worker])
         ]
-        fitting.sort(key=lambda candidate: -unused_millicores(candidate.load))
-        workers = [candidate.worker for candidate in fitting]
+        hosts.sort(key=lambda candidate: -unused_millicores(candidate.load))
+        workers = [candidate.worker for candidate in hosts]
         workers_to_query = self._state.advice.next_query(name, workers, now)
         if workers_to_query is not None:
             query = asyncio.create_task(self._query_policy(name, workers_to_query))
--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -53,3 +53,13 @@
     fixture = AdviceFixture(3, PolicyFake(valid_seconds=0.4))
     fixture.submit("00000000000000a1", STEP)
     assert await fixture.plan(seconds=3)
+
+
+@on_virtual_time
+async def test_steps_that_no_worker_can_take_do_not_use_up_the_queries():
+    fixture = AdviceFixture(200, PolicyFake(valid_seconds=1.0))
+    blocked = STEP._replace(required_label="missing")
+    for number in range(4):
+        fixture.submit(f"{number:016x}", blocked, priority=0)
+    fixture.submit("00000000000000a1", STEP)
+    assert await fixture.plan(seconds=5)
