--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -17,6 +17,7 @@
     Candidate,
     PlacementContext,
     WorkerChooser,
+    can_host,
     min_backfill_speed,
     unused_millicores,
 )
@@ -497,11 +498,14 @@
     ) -> list[Candidate]:
         """Return the workers with a valid ticket; query the policy about the others."""
         name = _name_of(step)
-        fitting = [
-            candidate for candidate in candidates if candidate.load.fits(step.spec)
+        count_by_worker = step.count_by_worker()
+        hosts = [
+            candidate
+            for candidate in candidates
+            if can_host(step.spec, candidate, count_by_worker[candidate.worker])
         ]
-        fitting.sort(key=lambda candidate: -unused_millicores(candidate.load))
-        workers = [candidate.worker for candidate in fitting]
+        hosts.sort(key=lambda candidate: -unused_millicores(candidate.load))
+        workers = [candidate.worker for candidate in hosts]
         workers_to_query = self._state.advice.next_query(name, workers, now)
         if workers_to_query is not None:
             query = asyncio.create_task(self._query_policy(name, workers_to_query))
@@ -515,12 +519,13 @@
 
     async def _query_policy(self, step: StepName, workers: list[str]) -> None:
         assert self._policy is not None
-        answer = None
         try:
             answer = await self._policy.query(step, workers)
-        finally:
-            now = asyncio.get_running_loop().time()
-            self._state.advice.record_answer(step, workers, answer, now)
+        except Exception:
+            log.exception("policy query failed", extra={"step": str(step)})
+            answer = None
+        now = asyncio.get_running_loop().time()
+        self._state.advice.record_answer(step, workers, answer, now)
 
     def _observe_batch_demand(
         self, waiting: list[tuple[StepProgress, list[Task]]], now: float
