Move remembered refusals to a module of their own

Cause: the planner decided, remembered refusals and explained them. No decision changes. Result: the tests in scheduler/ pass.

--- a/savorydale/scheduler/fleet.py
+++ b/savorydale/scheduler/fleet.py
@@ -91,6 +91,7 @@
     ``all_candidates`` has them all.
     """
 
+    service: str
     candidates: list[Candidate]
     all_candidates: list[Candidate]
     is_busy: bool
@@ -145,6 +146,7 @@
         if fleet is None:
             candidates = self._state.candidates(service, self._now)
             fleet = Fleet(
+                service,
                 candidates,
                 candidates,
                 is_busy(candidates),
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.jobs.model import Configuration, QueueSettings, TaskId
+from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.jobs.progress import StepProgress, Task
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
@@ -25,14 +25,10 @@
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
+from savorydale.scheduler.refusals import Refusals
 from savorydale.scheduler.state import SchedulerState
-from savorydale.scheduler.turns import TurnKey, Turns, WaitingTasks
-from savorydale.scheduler.waiting import (
-    Refusal,
-    WaitDecisions,
-    WaitReason,
-    find_refusal_reason,
-)
+from savorydale.scheduler.turns import Turns, WaitingTasks
+from savorydale.scheduler.waiting import WaitDecisions, WaitReason
 
 MAX_ROUND_SECONDS = 0.05
 # Share of a round's time, after the ranking, for steps that were not considered for
@@ -40,7 +36,6 @@
 TURN_RATIO = 0.3
 MIN_TURNS = 4  # of each round: a step of each kind
 MIN_PLACING_SECONDS = 0.02  # of each round, however long the ranking takes
-REFUSAL_SECONDS = 2.0  # capacity may have been released since
 MILLISECONDS_PER_SECOND = 1000
 
 log = logging.getLogger(__name__)
@@ -56,13 +51,6 @@
     ticket: str
 
 
-class RememberedRefusal(NamedTuple):
-    """A task for which a recent round found no worker; ``at`` is when."""
-
-    task: TaskId
-    at: float
-
-
 class PlanningRound(NamedTuple):
     """What one round knows; it began at ``now`` on the loop's clock."""
 
@@ -101,10 +89,10 @@
         self._read_configuration = read_configuration
         self._policy = policy
         self._starts: list[PendingStart] = []
-        self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
         self._turns = Turns()
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
+        self._refusals = Refusals(state, self._isolation, self.wait_decisions)
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
 
@@ -124,7 +112,7 @@
         Returns whether all steps were considered: a round is cut off after
         `MAX_ROUND_SECONDS`, or `MIN_PLACING_SECONDS` after a longer ranking, so that it
         does not delay the rest of the process. The next rounds skip steps that were
-        refused, until a round considers all others, but for `REFUSAL_SECONDS` at most.
+        refused, until a round considers all others or the refusal lapses.
 
         The last `TURN_RATIO` of such a round goes to the steps that were not considered
         for longest, `MIN_TURNS` of them in any case. So each service is considered at
@@ -150,21 +138,14 @@
         fleets = Fleets(self._state, now)
         ranked = self._rank_waiting(waiting, fleets, now)
         self._counts.steps_waiting += len(ranked)
-        self._begin_turns(ranked, now)
+        self._turns.begin_round((each.key for each in ranked), now)
+        self._refusals.begin_round(each.key for each in ranked)
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
         if is_complete:
-            self._refusal_by_key.clear()
+            self._refusals.clear()
         return is_complete
 
-    def _begin_turns(self, ranked: list[WaitingTasks], now: float) -> None:
-        """Forget what is known about steps that no longer wait."""
-        keys = {each.key for each in ranked}
-        self._turns.begin_round(keys, now)
-        self._refusal_by_key = {
-            key: refusal for key, refusal in self._refusal_by_key.items() if key in keys
-        }
-
     def _plan_ranked(
         self, ranked: list[WaitingTasks], this_round: PlanningRound
     ) -> bool:
@@ -229,11 +210,11 @@
         if not fleet.free_before.may_fit(step.spec):
             self._turns.record(waiting.key, now)
             self._counts.count_refusal(step.spec, [])
-            self._explain_refusal(waiting, fleet, now)
+            self._refusals.explain(waiting, fleet, False, now)
             return True
-        refusal = self._recent_refusal(waiting.key, now)
+        refusal = self._refusals.find_recent(waiting.key, now)
         if refusal is not None and (not is_turn or refusal.at == now):
-            self._record_remembered(step, tasks, refusal, now)
+            self._refusals.record_skip(waiting, refusal, now)
             return False
         self._turns.record(waiting.key, now)
         self._try_to_place(waiting, fleet, this_round)
@@ -245,96 +226,26 @@
         """Look for workers for waiting tasks, and record it if there are too few."""
         now, _, failed_placements = this_round
         step, tasks = waiting.step, waiting.tasks
+        needs_advice = self._needs_advice(step)
         if waiting.is_suspect:
             if not self._place_suspects(step, tasks, fleet, now):
-                self._record_refusal(waiting, fleet, now)
+                self._refusals.record(waiting, fleet, needs_advice, now)
             return
         open_fleet = self._open_to_others(fleet)
-        if self._needs_advice(step):
+        if needs_advice:
             if not self._place_allowed(step, tasks, open_fleet, now):
-                self._explain_refusal(waiting, fleet, now)
+                self._refusals.explain(waiting, fleet, needs_advice, now)
             return
-        service = self.service_of(step.job.queue)
+        service = fleet.service
         min_speed = self._min_speed(step, tasks, fleet, now)
         if failed_placements.covers(service, step.spec, min_speed):
             self.wait_decisions.record_skip(step.spec, tasks, WaitReason.COVERED, now)
             return
         if not self._place(step, tasks, open_fleet, min_speed, now):
-            self._record_refusal(waiting, fleet, now)
+            self._refusals.record(waiting, fleet, needs_advice, now)
             fits_somewhere = open_fleet.fits(step.spec)
             failed_placements.add(service, step.spec, min_speed, fits_somewhere)
 
-    def _recent_refusal(self, key: TurnKey, now: float) -> RememberedRefusal | None:
-        """Return the refusal of a step, if a recent round has found no worker for it.
-
-        Under overload no round may consider all steps for long, so a refusal lapses.
-        """
-        refusal = self._refusal_by_key.get(key)
-        if refusal is None or now - refusal.at >= REFUSAL_SECONDS:
-            return None
-        return refusal
-
-    def _record_remembered(
-        self,
-        step: StepProgress,
-        tasks: list[Task],
-        refusal: RememberedRefusal,
-        now: float,
-    ) -> None:
-        if not step.spec.long_running:
-            return
-        is_same = any(task.id == refusal.task for task in tasks)
-        reason = (
-            WaitReason.REFUSAL_REMEMBERED if is_same else WaitReason.OTHER_TASK_REFUSED
-        )
-        detail = f"{refusal.task} {now - refusal.at:.2f} s ago"
-        self.wait_decisions.record_skip(step.spec, tasks, reason, now, detail)
-
-    def _record_refusal(self, waiting: WaitingTasks, fleet: Fleet, now: float) -> None:
-        """Remember that no worker could take one of the waiting tasks, and why."""
-        refused = next(task for task in waiting.tasks if task.is_waiting)
-        self._refusal_by_key[waiting.key] = RememberedRefusal(refused.id, now)
-        self._explain_refusal(waiting, fleet, now)
-
-    def _explain_refusal(self, waiting: WaitingTasks, fleet: Fleet, now: float) -> None:
-        """Record why no worker could take the tasks of a service that still wait."""
-        if not waiting.step.spec.long_running:
-            return
-        self.wait_decisions.record_refusal(
-            waiting.key,
-            [task for task in waiting.tasks if task.is_waiting],
-            now,
-            lambda: self._find_refusal_reason(waiting, fleet, now),
-        )
-
-    def _find_refusal_reason(
-        self, waiting: WaitingTasks, fleet: Fleet, now: float
-    ) -> WaitReason:
-        step, tasks = waiting.step, waiting.tasks
-        candidates = fleet.candidates
-        if waiting.is_suspect:
-            allowed = self._isolation.candidates_for_suspect(tasks[0], candidates)
-        else:
-            allowed = self._isolation.candidates_for_others(candidates)
-        open_workers = {candidate.worker for candidate in allowed}
-        allowed_workers = open_workers
-        if self._needs_advice(step):
-            allowed_workers = {
-                worker
-                for worker in open_workers
-                if self._state.advice.ticket(_name_of(step), worker, now)
-            }
-        refusal = Refusal(
-            step.spec,
-            waiting.is_suspect,
-            step.count_by_worker(),
-            candidates,
-            open_workers,
-            allowed_workers,
-        )
-        service = self.service_of(step.job.queue)
-        return find_refusal_reason(refusal, self._state, service, now)
-
     def _begin_isolation(self, now: float) -> None:
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
--- /dev/null
+++ b/savorydale/scheduler/refusals.py
@@ -0,0 +1,125 @@
+"""Remembers for a while which waiting tasks found no worker, and tells why."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from savorydale.jobs.model import TaskId
+from savorydale.placement.advice import StepName
+from savorydale.placement.isolation import SuspectIsolation
+from savorydale.scheduler.fleet import Fleet
+from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.turns import TurnKey, WaitingTasks
+from savorydale.scheduler.waiting import (
+    Refusal,
+    WaitDecisions,
+    WaitReason,
+    find_refusal_reason,
+)
+
+REFUSAL_SECONDS = 2.0  # capacity may have been released since
+
+
+class RememberedRefusal(NamedTuple):
+    """A task for which a recent round found no worker; ``at`` is when."""
+
+    task: TaskId
+    at: float
+
+
+class Refusals:
+    """The refusals of recent rounds; their reasons go to the decisions on services."""
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        isolation: SuspectIsolation,
+        decisions: WaitDecisions,
+    ):
+        self._state = state
+        self._isolation = isolation
+        self._decisions = decisions
+        self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
+
+    def begin_round(self, keys: Iterable[TurnKey]) -> None:
+        """Forget the refusals of what no longer waits."""
+        kept = set(keys)
+        self._refusal_by_key = {
+            key: refusal for key, refusal in self._refusal_by_key.items() if key in kept
+        }
+
+    def clear(self) -> None:
+        """Forget all refusals."""
+        self._refusal_by_key.clear()
+
+    def find_recent(self, key: TurnKey, now: float) -> RememberedRefusal | None:
+        """Return a refusal, if a recent round has found no worker.
+
+        Under overload no round may consider all steps for long, so a refusal lapses.
+        """
+        refusal = self._refusal_by_key.get(key)
+        if refusal is None or now - refusal.at >= REFUSAL_SECONDS:
+            return None
+        return refusal
+
+    def record(
+        self, waiting: WaitingTasks, fleet: Fleet, needs_advice: bool, now: float
+    ) -> None:
+        """Remember that no worker could take one of the waiting tasks, and why."""
+        refused = next(task for task in waiting.tasks if task.is_waiting)
+        self._refusal_by_key[waiting.key] = RememberedRefusal(refused.id, now)
+        self.explain(waiting, fleet, needs_advice, now)
+
+    def record_skip(
+        self, waiting: WaitingTasks, refusal: RememberedRefusal, now: float
+    ) -> None:
+        """Record that tasks are not tried because of a remembered refusal."""
+        if not waiting.step.spec.long_running:
+            return
+        is_same = any(task.id == refusal.task for task in waiting.tasks)
+        reason = (
+            WaitReason.REFUSAL_REMEMBERED if is_same else WaitReason.OTHER_TASK_REFUSED
+        )
+        detail = f"{refusal.task} {now - refusal.at:.2f} s ago"
+        self._decisions.record_skip(
+            waiting.step.spec, waiting.tasks, reason, now, detail
+        )
+
+    def explain(
+        self, waiting: WaitingTasks, fleet: Fleet, needs_advice: bool, now: float
+    ) -> None:
+        """Record why no worker could take the tasks of a service that still wait."""
+        if not waiting.step.spec.long_running:
+            return
+        self._decisions.record_refusal(
+            waiting.key,
+            [task for task in waiting.tasks if task.is_waiting],
+            now,
+            lambda: self._find_reason(waiting, fleet, needs_advice, now),
+        )
+
+    def _find_reason(
+        self, waiting: WaitingTasks, fleet: Fleet, needs_advice: bool, now: float
+    ) -> WaitReason:
+        step, candidates = waiting.step, fleet.candidates
+        if waiting.is_suspect:
+            task = waiting.tasks[0]
+            allowed = self._isolation.candidates_for_suspect(task, candidates)
+        else:
+            allowed = self._isolation.candidates_for_others(candidates)
+        open_workers = {candidate.worker for candidate in allowed}
+        allowed_workers = open_workers
+        if needs_advice:
+            name = StepName(step.job.id, step.occurrence, step.number)
+            advice = self._state.advice
+            allowed_workers = {
+                worker for worker in open_workers if advice.ticket(name, worker, now)
+            }
+        refusal = Refusal(
+            step.spec,
+            waiting.is_suspect,
+            step.count_by_worker(),
+            candidates,
+            open_workers,
+            allowed_workers,
+        )
+        return find_refusal_reason(refusal, self._state, fleet.service, now)
