--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -6,7 +6,7 @@
 from savorydale.jobs.rows import JobRow, JobStatus
 from savorydale.placement.advice import PolicyAnswer
 from savorydale.tests.harness import on_virtual_time
-from savorydale.tests.scheduler.planner_tests import QUEUE, PlannerFixture
+from savorydale.tests.scheduler.planner_fixture import QUEUE, PlannerFixture
 
 ANSWER_SECONDS = 0.3
 STEP = StepSpec(1, 2000, 1000, estimate_ms=500)
--- a/savorydale/tests/scheduler/quarantine_wait_tests.py
+++ b/savorydale/tests/scheduler/quarantine_wait_tests.py
@@ -7,7 +7,7 @@
 from savorydale.jobs.model import StepSpec, TaskId
 from savorydale.orders.interface import EndedRun, EndReason
 from savorydale.tests.harness import on_virtual_time
-from savorydale.tests.scheduler.planner_tests import SERVICE, PlannerFixture
+from savorydale.tests.scheduler.planner_fixture import SERVICE, PlannerFixture
 
 MAX_IDLE_SECONDS = 3.0  # a ready job may have nothing running for this long
 BATCH = StepSpec(1, 2000, 1000, estimate_ms=500)
