Refuse workers' lists of runs whose numbers are out of bounds

What callers saw: a worker whose reply to a renewal has a `clockMs` of 400 digits, above or below zero, was given tasks that never started, and their jobs did not complete. After an end with a number of 400 digits, once, all later ends of the worker were taken for old ones, so its tasks ran on for the scheduler.

Cause: numbers of any size were taken. The lease end is calculated with floats, so each order raised OverflowError before it was sent ("order failed"), and its run stayed reserved. The number of the last end that was applied only grows.

Change: clocks, births, run and end numbers, progress and usage have named bounds, and births and numbers are whole. A list that breaks one counts as not answered, as any malformed list does.

--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -27,15 +27,20 @@
     NoReplyError,
     NotSentError,
 )
+from savorydale.platform.registrations import MAX_UNIX_MS
 from savorydale.utils.json_values import (
     JsonObject,
-    to_float,
-    to_int,
+    to_float_within,
     to_list,
     to_text,
+    to_whole_number,
 )
 
 ORDER_TIMEOUT_SECONDS = 1.0
+MAX_CLOCK_MS = 100_000_000_000_000
+MAX_RUN_NUMBER = 1_000_000_000_000
+MAX_PROGRESS_PERCENT = 100
+MAX_USAGE = 1_000_000_000  # milliseconds or millicores
 INCARNATION_HEADER = "Savorydale-Target-Instance"
 MILLISECONDS_PER_SECOND = 1000
 
@@ -161,8 +166,8 @@
 
 def _parse_renewed(body: JsonObject) -> Renewed:
     return Renewed(
-        to_int(body["clockMs"]),
-        to_int(body.get("born") or 0),
+        to_whole_number(body["clockMs"], 0, MAX_CLOCK_MS),
+        to_whole_number(body.get("born") or 0, 0, MAX_UNIX_MS),
         tuple(_parse_active(to_list(fields)) for fields in to_list(body["running"])),
         tuple(_parse_ended(to_list(fields)) for fields in to_list(body["ended"])),
     )
@@ -174,19 +179,19 @@
     task, run, checkpoint, progress, *usage = fields
     return ActiveRun(
         TaskId.parse(to_text(task)),
-        to_int(run),
+        to_whole_number(run, 0, MAX_RUN_NUMBER),
         to_text(checkpoint or ""),
-        to_float(progress or 0),
-        to_float(usage[0] or 0) if usage else 0.0,
+        to_float_within(progress or 0, 0, MAX_PROGRESS_PERCENT),
+        to_float_within(usage[0] or 0, 0, MAX_USAGE) if usage else 0.0,
     )
 
 
 def _parse_ended(fields: list[Any]) -> EndedRun:
     number, task, run, reason_name, checkpoint = fields
     return EndedRun(
-        to_int(number),
+        to_whole_number(number, 0, MAX_RUN_NUMBER),
         TaskId.parse(to_text(task)),
-        to_int(run),
+        to_whole_number(run, 0, MAX_RUN_NUMBER),
         END_REASON_BY_NAME[to_text(reason_name)],
         to_text(checkpoint or ""),
     )
--- a/savorydale/utils/json_values.py
+++ b/savorydale/utils/json_values.py
@@ -84,6 +84,14 @@
     return number
 
 
+def to_float_within(value: object, lowest: float, highest: float) -> float:
+    """Return a number within bounds, else raise `RowFormatError`."""
+    number = _to_number(value)
+    if not lowest <= number <= highest:
+        raise RowFormatError(f"the number is not within {lowest} to {highest}")
+    return float(number)
+
+
 def _to_number(value: object) -> Any:
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise RowFormatError(f"{_shorten(value)} is not a number")
