Bound the size of workers' replies

What callers would see: a worker that lists a million runs blocks the lease holder for longer than the lease lasts (2 s), and then the next holder.

No test shows the takeover; test_list_of_very_many_runs_counts_as_unanswered and test_answer_over_the_limit_counts_as_none failed before.

Change: a reply of a worker is read up to 4 MB and may list 20,000 active and as many ended runs; more counts as not answered. The store's replies have no limit: the changes of a table may be many.

--- a/savorydale/platform/http.py
+++ b/savorydale/platform/http.py
@@ -50,9 +50,12 @@
         body: JsonObject | None = None,
         headers: Mapping[str, str] | None = None,
         params: Mapping[str, str] | None = None,
+        max_reply_bytes: int | None = None,
     ) -> HttpReply:
         """Send one request and return the response.
 
+        A response longer than ``max_reply_bytes`` counts as none.
+
         Raises
         ------
         ConnectionRefused
@@ -71,7 +74,7 @@
                     method, url, data=data, headers=all_headers, params=params
                 ) as response,
             ):
-                raw = await response.read()
+                raw = await _read_body(response, max_reply_bytes)
         except aiohttp.ClientConnectorError as error:
             if error.os_error.errno == errno.ECONNREFUSED:
                 raise ConnectionRefused(str(error)) from error
@@ -88,6 +91,18 @@
         return HttpReply(response.status, _parse(raw))
 
 
+async def _read_body(response: aiohttp.ClientResponse, max_bytes: int | None) -> bytes:
+    if max_bytes is None:
+        return await response.read()
+    raw = bytearray()
+    async for chunk in response.content.iter_any():
+        raw += chunk
+        if len(raw) > max_bytes:
+            response.close()
+            raise NoReplyError(f"the answer is longer than {max_bytes} bytes")
+    return bytes(raw)
+
+
 def _parse(raw: bytes) -> JsonObject | None:
     try:
         return load_json_object(raw)
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -37,6 +37,8 @@
 )
 
 ORDER_TIMEOUT_SECONDS = 1.0
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+MAX_LISTED_RUNS = 20_000
 MAX_CLOCK_MS = 100_000_000_000_000
 MAX_RUN_NUMBER = 1_000_000_000_000
 MAX_PROGRESS_PERCENT = 100
@@ -146,6 +148,7 @@
                 timeout_seconds,
                 {**body, "fenceToken": target.fencing_token},
                 {INCARNATION_HEADER: target.worker},
+                max_reply_bytes=MAX_REPLY_BYTES,
             )
         except ConnectionRefused as error:
             return Refused(RefusalReason.NOT_LISTENING, str(error))
@@ -168,11 +171,18 @@
     return Renewed(
         to_whole_number(body["clockMs"], 0, MAX_CLOCK_MS),
         to_whole_number(body.get("born") or 0, 0, MAX_UNIX_MS),
-        tuple(_parse_active(to_list(fields)) for fields in to_list(body["running"])),
-        tuple(_parse_ended(to_list(fields)) for fields in to_list(body["ended"])),
+        tuple(_parse_active(to_list(fields)) for fields in _to_runs(body["running"])),
+        tuple(_parse_ended(to_list(fields)) for fields in _to_runs(body["ended"])),
     )
 
 
+def _to_runs(value: object) -> list[Any]:
+    runs = to_list(value)
+    if len(runs) > MAX_LISTED_RUNS:
+        raise RowFormatError(f"more than {MAX_LISTED_RUNS} runs")
+    return runs
+
+
 def _parse_active(fields: list[Any]) -> ActiveRun:
     # The fourth field is progress, not speed. The fifth is missing from workers on
     # which nothing is shared.
--- a/savorydale/tests/branch.py
+++ b/savorydale/tests/branch.py
@@ -62,7 +62,14 @@
         self._entry = entry
 
     async def send(
-        self, method, url, timeout_seconds, body=None, headers=None, params=None
+        self,
+        method,
+        url,
+        timeout_seconds,
+        body=None,
+        headers=None,
+        params=None,
+        max_reply_bytes=None,
     ):
         address, _, path = url.removeprefix("http://").partition("/")
         faults = self._branch.faults_between(self._entry, address)
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -64,7 +64,9 @@
         self.replies = list(replies)
         self.sent = []
 
-    async def send(self, method, url, timeout, body=None, headers=None, params=None):
+    async def send(
+        self, method, url, timeout, body=None, headers=None, params=None, **options
+    ):
         self.sent.append((method, url, body, headers, params))
         reply = self.replies.pop(0)
         if isinstance(reply, Exception):
@@ -165,6 +167,16 @@
     assert isinstance(outcome, Unanswered)
 
 
+@pytest.mark.parametrize("name", ["running", "ended"])
+def test_list_of_very_many_runs_counts_as_unanswered(name):
+    body = {"clockMs": 100, "born": 7, "running": [], "ended": []}
+    workers, _ = make_workers(HttpReply(200, {**body, name: [[]] * 1_000_000}))
+    outcome = asyncio.run(workers.renew(TARGET, RenewOrder(0, None, 0)))
+    assert outcome == Unanswered(
+        "malformed list of runs: RowFormatError('more than 20000 runs')"
+    )
+
+
 @pytest.mark.parametrize(
     ("reply", "outcome"),
     [
--- a/savorydale/tests/platform/http_tests.py
+++ b/savorydale/tests/platform/http_tests.py
@@ -15,6 +15,9 @@
     NotSentError,
     open_http_client,
 )
+from standins.entry_process import free_port
+from standins.row_store import Reply
+from standins.serve import serve
 
 
 def bound_socket():
@@ -61,3 +64,29 @@
             await accepting
 
         asyncio.run(run())
+
+
+class LongAnswer:
+    """Answers each request with about 1 MB."""
+
+    async def handle(self, method, path, params, body):
+        return Reply(200, {"running": ["x" * 1000] * 1000})
+
+
+@pytest.mark.parametrize("limit", [None, 2_000_000])
+def test_long_answer_is_read_up_to_the_limit(limit):
+    assert len(asyncio.run(request_long_answer(limit)).body["running"]) == 1000
+
+
+def test_answer_over_the_limit_counts_as_none():
+    with pytest.raises(NoReplyError):
+        asyncio.run(request_long_answer(100_000))
+
+
+async def request_long_answer(limit):
+    async with (
+        serve(LongAnswer(), free_port()) as address,
+        open_http_client() as client,
+    ):
+        url = f"http://{address}/"
+        return await client.send("POST", url, 5.0, {}, max_reply_bytes=limit)
