Read the other rows of a page with an odd one

What callers saw: one row whose `value` is not base64 in the tables `servers`, `jobs`, `states`, `steps` or `tails`, and a takeover: no entry could read the table, accepted jobs waited for good. With such a row in `servers`, a worker that joined later was not used either ("table cannot be followed").

Cause: a value, version or name that could not be decoded made the whole page malformed, and each page that holds the row after it.

Change: a value that cannot be decoded is read as an empty one, which the decoder of the table refuses as it does any other odd value, with its log line. A version that cannot be read meets no condition. A row without a name is skipped, with one line a reply.

--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's row store."""
 
 import base64
+import logging
 
 from savorydale.exceptions import (
     HistoryLostError,
@@ -9,6 +10,7 @@
 )
 from savorydale.platform.http import HttpClient, HttpReply, NoReplyError, NotSentError
 from savorydale.storage.rows import (
+    ABSENT,
     Committed,
     Conflict,
     NotDone,
@@ -27,6 +29,7 @@
     to_list,
     to_object,
     to_text,
+    to_whole_number,
 )
 
 # All rows are in one partition, so that a transaction can cover any of them; the
@@ -35,6 +38,11 @@
 LONG_POLL_MARGIN_SECONDS = 0.4
 MIN_POLL_TIMEOUT_SECONDS = 1.4  # the store may be slow to answer
 MILLISECONDS_PER_SECOND = 1000
+MAX_VERSION = 1_000_000_000_000_000
+UNREADABLE_VALUE = b""
+UNREADABLE_VERSION = ABSENT  # the row exists, so a condition on it does not hold
+
+log = logging.getLogger(__name__)
 
 
 class PlatformStore:
@@ -148,18 +156,47 @@
     return {**_encode_key(write.name), "value": value}
 
 
+def _parse_rows(body: JsonObject) -> list[StoredRow]:
+    """Return the rows of a reply, without those whose name cannot be read."""
+    try:
+        found = to_list(body["rows"])
+    except (KeyError, RowFormatError) as error:
+        raise StoreUnreachableError(f"malformed response: {error!r}") from error
+    rows = []
+    reasons = []
+    for row in found:
+        try:
+            rows.append(_parse_row(to_object(row)))
+        except (KeyError, RowFormatError) as error:
+            reasons.append(repr(error))
+    if reasons:
+        extra = {"rows": len(reasons), "reason": reasons[0]}
+        log.warning("stored rows are skipped", extra=extra)
+    return rows
+
+
 def _parse_row(row: JsonObject) -> StoredRow:
-    is_deleted = bool(row.get("deleted"))
-    value = None if is_deleted else base64.b64decode(to_text(row.get("value") or ""))
     name = RowKey(to_text(row["table"]), to_text(row["key"]))
-    return StoredRow(name, value, to_int(row.get("ver", 0)))
+    if row.get("deleted"):
+        return StoredRow(name, None, _parse_version(row))
+    return StoredRow(name, _parse_value(row), _parse_version(row))
 
 
-def _parse_rows(body: JsonObject) -> list[StoredRow]:
+def _parse_value(row: JsonObject) -> bytes:
+    """Return a row's value, or `UNREADABLE_VALUE`, which no decoder accepts."""
     try:
-        return [_parse_row(to_object(row)) for row in to_list(body["rows"])]
-    except (KeyError, ValueError, RowFormatError) as error:
-        raise StoreUnreachableError(f"malformed response: {error!r}") from error
+        return base64.b64decode(to_text(row.get("value") or ""))
+    except (ValueError, RowFormatError):
+        return UNREADABLE_VALUE  # the row's decoder refuses and logs it
+
+
+def _parse_version(row: JsonObject) -> int:
+    """Return a row's version, or one that no condition on the row meets."""
+    try:
+        return to_whole_number(row.get("ver", 0), 0, MAX_VERSION)
+    except RowFormatError:
+        log.warning("version of a row is ignored", extra={"key": row["key"]})
+        return UNREADABLE_VERSION
 
 
 def _parse_conflict(body: JsonObject) -> Conflict | OutcomeUnknown:
