Keep the process when a reply of the store cannot be handled

What would be seen: after a reply of the store with a `nowMs` of 400 digits each entry's process ended by itself.

Cause: the time was compared with the wall clock in floats, outside of the block that contains a listener's errors. Any unexpected error there, or in reading, ended the task that follows the configuration, and with it the process.

Change: versions and times of replies have bounds; outside of them the reply is malformed, as one without rows is. Following a table goes on after an unexpected error: it is logged once until the table can be read again, and the table is read anew. Only a lost leadership ends it.

--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -25,7 +25,7 @@
 )
 from savorydale.utils.json_values import (
     JsonObject,
-    to_int,
+    to_float_within,
     to_list,
     to_object,
     to_text,
@@ -38,6 +38,7 @@
 LONG_POLL_MARGIN_SECONDS = 0.4
 MIN_POLL_TIMEOUT_SECONDS = 1.4  # the store may be slow to answer
 MILLISECONDS_PER_SECOND = 1000
+MAX_CLOCK_MS = 100_000_000_000_000
 MAX_VERSION = 1_000_000_000_000_000
 UNREADABLE_VALUE = b""
 UNREADABLE_VERSION = ABSENT  # the row exists, so a condition on it does not hold
@@ -209,7 +210,8 @@
 
 def _make_range(rows: list[StoredRow], body: JsonObject) -> RowRange:
     try:
-        version, now_ms = to_int(body.get("ver", 0)), to_int(body.get("nowMs", 0))
+        version = to_whole_number(body.get("ver", 0), 0, MAX_VERSION)
+        now_ms = int(to_float_within(body.get("nowMs", 0), 0, MAX_CLOCK_MS))
     except RowFormatError as error:
         raise StoreUnreachableError(f"malformed response: {error}") from error
     return RowRange(tuple(rows), version, now_ms)
--- a/savorydale/storage/follow.py
+++ b/savorydale/storage/follow.py
@@ -43,8 +43,9 @@
 
     ``wait_seconds`` limits each wait for changes, and so the time until a dead
     connection is detected. After a failure, the next request does not wait for changes,
-    so that its response shows at once that the table is up to date. ``version`` is that
-    of a snapshot which the listener has; ``None`` if it has none.
+    so that its response shows at once that the table is up to date. After an unexpected
+    error, which is logged, the table is read anew. ``version`` is that of a snapshot
+    which the listener has; ``None`` if it has none.
     """
     is_reachable = True
     while True:
@@ -64,6 +65,15 @@
             is_reachable = False
             await asyncio.sleep(RETRY_DELAY_SECONDS)
             continue
+        except LeadershipLostError:
+            raise
+        except Exception:
+            if is_reachable:
+                log.exception("table cannot be followed", extra={"table": table})
+            is_reachable = False
+            version = None
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+            continue
         if not is_reachable:
             log.info("table is followed again", extra={"table": table})
         is_reachable = True
