Refuse configurations whose version is out of bounds

What operators would see: after a configuration with a version of 400 digits, or of 1e308, no later one comes into force, since none is newer.

Evidence: test_odd_version_does_not_hide_later_configurations failed before for these two versions: `assert [...] == [9]`.

Change: a version is a whole number up to 10^15; others make the configuration unreadable, and the one in force stays.

--- a/savorydale/platform/discovery.py
+++ b/savorydale/platform/discovery.py
@@ -18,11 +18,13 @@
     to_list,
     to_object,
     to_text,
+    to_whole_number,
 )
 
 WORKERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+MAX_VERSION = 1_000_000_000_000_000
 DEFAULT_MAX_BODY_BYTES = 262_144
 
 log = logging.getLogger(__name__)
@@ -120,7 +122,7 @@
         queues = [_decode_queue(to_object(route)) for route in to_list(data["routes"])]
         limits = to_object(data.get("limits") or {})
         return Configuration(
-            to_int(data["version"]),
+            to_whole_number(data["version"], 0, MAX_VERSION),
             {queue.name: queue for queue in queues},
             to_int(limits.get("maxBodyBytes") or DEFAULT_MAX_BODY_BYTES),
         )
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -275,6 +275,19 @@
     assert [configuration.version for configuration in changes] == [3, 9]
 
 
+@pytest.mark.parametrize(
+    "version",
+    [10**400, -1, 1e308, True, "7"],
+    ids=["of 400 digits", "below zero", "as large as a float can be", "true", "text"],
+)
+def test_odd_version_does_not_hide_later_configurations(version):
+    changes = []
+    follower = ConfigurationFollower(changes.append, lambda store_ms: None)
+    follower.replace_all((configuration_row(version),), 1)
+    follower.apply((configuration_row(9),), 5)
+    assert [configuration.version for configuration in changes] == [9]
+
+
 def test_host_of_a_queue_is_case_insensitive():
     configuration = decode_configuration(configuration_row(1).value or b"")
     assert configuration.find_queue("h.example", "/q/1") is not None
