Ignore rows of the jobs table whose key is no job's ID

What callers would see: with one readable job row under the key "a.b" no job of the service ran any more: accepted jobs waited on all workers.

Cause: the row counted as a job. A worker that runs a task of it names the task in its list by the job's key, with one dot more than a task has, so that the whole list is unreadable, and the worker counts as silent. Only entries write this table, and they check the ID; another writer would not.

Change: rows and cancellations under other keys are ignored, logged and counted (`job.odd_key`). Nothing is written under such a key: a store that refuses it would refuse the whole commit, which is tried again for good.

--- a/savorydale/jobs/model.py
+++ b/savorydale/jobs/model.py
@@ -1,11 +1,13 @@
 """Data model of jobs, steps, tasks and queues."""
 
+import re
 from enum import StrEnum
 from typing import NamedTuple
 
 from savorydale.exceptions import RowFormatError
 
 MILLISECONDS_PER_SECOND = 1000
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 
 
 class StepSpec(NamedTuple):
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -12,6 +12,7 @@
 from savorydale.counters import Counters
 from savorydale.exceptions import RowFormatError, StoreError
 from savorydale.jobs.model import (
+    JOB_ID,
     Configuration,
     QueueSettings,
 )
@@ -34,7 +35,6 @@
 RETRY_AFTER_SECONDS = 1
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_REPORTED_ERRORS = 10
-JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 MILLISECONDS_PER_SECOND = 1000
 
 DEFAULT_LIMITS = JobLimits()
--- a/savorydale/scheduler/admission.py
+++ b/savorydale/scheduler/admission.py
@@ -8,6 +8,7 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import RowFormatError
+from savorydale.jobs.model import JOB_ID
 from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JobStatus, decode_job
 from savorydale.jobs.validation import STORED_JOB_LIMITS, find_job_errors
@@ -32,6 +33,8 @@
         ``now`` is on the loop's clock, ``store_ms`` on the store's.
         """
         job = row.name.key
+        if not self._is_job_id(job):
+            return None
         try:
             decoded = decode_job(row.value or b"")
             errors = find_job_errors(decoded, STORED_JOB_LIMITS)
@@ -58,9 +61,23 @@
 
         Otherwise, a later holder would read the job without its cancellation.
         """
+        if not self._is_job_id(job):
+            return
         log.warning("unknown job is cancelled", extra={"job": job})
         self._discard(job, JobStatus.CANCELLED, store_ms)
 
+    def _is_job_id(self, key: str) -> bool:
+        """Return whether a key of the table is that of a job; log it if it is not.
+
+        Lists of runs name the tasks of a job by its ID, so another key would make them
+        unreadable. Nothing is written under it, since the store may refuse such a key.
+        """
+        if JOB_ID.match(key):
+            return True
+        self._counters.increment("job.odd_key")
+        log.error("job row is ignored", extra={"key": key})
+        return False
+
     def _discard(self, job: str, status: JobStatus, store_ms: float) -> None:
         ended_ms = int(store_ms)
         self._state.job_tracker.discard(job, status, ended_ms)
