Use the other tickets of an answer with an odd row

What callers would see: a step on a queue with a policy never starts if one row of the policy service's answer cannot be read; the query is repeated with the same result.

Evidence: 7 rows in test_odd_row_of_an_answer_does_not_hide_the_other_tickets failed before: `assert None == PolicyAnswer(...)`.

Change: such a row is skipped and logged, and its worker counts as denied for the step. A validity below zero or out of bounds makes the answer unreadable; before, -1 gave tickets that had expired.

--- a/savorydale/platform/advice.py
+++ b/savorydale/platform/advice.py
@@ -5,9 +5,10 @@
 from savorydale.exceptions import RowFormatError
 from savorydale.placement.advice import PolicyAnswer, StepName
 from savorydale.platform.http import HttpClient, NoReplyError, NotSentError
-from savorydale.utils.json_values import JsonObject, to_float, to_list, to_text
+from savorydale.utils.json_values import JsonObject, to_float_within, to_list, to_text
 
 TIMEOUT_SECONDS = 5.0  # the service handles the requests of one VM sequentially
+MAX_VALID_MS = 1_000_000_000_000
 MILLISECONDS_PER_SECOND = 1000
 
 log = logging.getLogger(__name__)
@@ -37,9 +38,13 @@
 
 
 def _parse_answer(body: JsonObject) -> PolicyAnswer:
+    """Return the answer; a worker whose row cannot be read is not allowed."""
     tickets = {}
     for row in to_list(body["allowed"]):
-        worker, ticket = to_list(row)
-        tickets[to_text(worker)] = to_text(ticket)
-    valid_seconds = to_float(body["validMs"]) / MILLISECONDS_PER_SECOND
-    return PolicyAnswer(tickets, valid_seconds)
+        try:
+            worker, ticket = to_list(row)
+            tickets[to_text(worker)] = to_text(ticket)
+        except (ValueError, RowFormatError) as error:
+            log.info("allowed worker is skipped", extra={"reason": str(error)})
+    valid_ms = to_float_within(body["validMs"], 0, MAX_VALID_MS)
+    return PolicyAnswer(tickets, valid_ms / MILLISECONDS_PER_SECOND)
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -24,6 +24,8 @@
     Unanswered,
     WorkerTarget,
 )
+from savorydale.placement.advice import PolicyAnswer, StepName
+from savorydale.platform.advice import PlatformPolicyService
 from savorydale.platform.discovery import (
     ConfigurationFollower,
     WorkerRegistry,
@@ -313,3 +315,24 @@
     assert spec.steps[0].backfill
     assert spec.steps[0].max_per_worker == 1
     assert spec.steps[0].max_unavailable is None
+
+
+@pytest.mark.parametrize(
+    "odd_row", [5, [], ["i-2"], ["i-2", 10**400], [[[]], "t"], ["i-2", "t", "t"], None]
+)
+def test_odd_row_of_an_answer_does_not_hide_the_other_tickets(odd_row):
+    body = {"allowed": [odd_row, ["i-1", "ticket"]], "validMs": 900}
+    service = PlatformPolicyService(ScriptedHttp(HttpReply(200, body)), "10.0.0.8:80")
+    answer = asyncio.run(service.query(StepName("j", 0, 0), ["i-1", "i-2"]))
+    assert answer == PolicyAnswer({"i-1": "ticket"}, 0.9)
+
+
+@pytest.mark.parametrize(
+    "valid_ms",
+    [10**400, -1, float("inf"), True, "9", None],
+    ids=["of 400 digits", "below zero", "not finite", "true", "text", "null"],
+)
+def test_answer_with_an_odd_validity_is_none(valid_ms):
+    body = {"allowed": [["i-1", "ticket"]], "validMs": valid_ms}
+    service = PlatformPolicyService(ScriptedHttp(HttpReply(200, body)), "10.0.0.8:80")
+    assert asyncio.run(service.query(StepName("j", 0, 0), ["i-1"])) is None
