Send odd bodies to the entries in the soak of odd registrations

17 kinds of body (nested 100,000 deep, numbers of 400 and 5,000 digits, no UTF-8, 300 kB, lists by the ten thousand) go to random entries every 50 ms; each must get 400 or 413.

--- a/savorydale/tests/odd_registrations_soak.py
+++ b/savorydale/tests/odd_registrations_soak.py
@@ -14,6 +14,8 @@
 import sys
 import tempfile
 
+import aiohttp
+
 from savorydale.tests import process_soak
 from savorydale.tests.odd_registrations import ODD_NAMES, make_odd
 from savorydale.tests.process_soak import SERVICE_JOB, SERVICE_STEP, Entry, Soak
@@ -29,6 +31,25 @@
 MAX_SKIPPED_LINES_PER_SECOND = 10
 COPIED_WORKER = "w0"
 JOINING_WORKERS = ("w8", "w9")  # before and after the holder is killed
+ODD_BODIES = (
+    b"",
+    b"\xff\xfe",
+    b"[" * 100_000,
+    b'{"spec":' * 30_000,
+    b'{"steps":' + b"1" * 5000 + b"}",
+    b'{"spec":"x","steps":{}}',
+    b'{"spec":"x","steps":[{"count":true}]}',
+    b'{"spec":"x","steps":[{"count":-3}]}',
+    b'{"spec":"x","steps":[{"count":1e400}]}',
+    b'{"spec":"x","steps":[{"count":NaN}]}',
+    b'{"spec":"x","steps":[{"count":1,"cpu":1' + b"0" * 400 + b"}]}",
+    b'{"spec":"x","steps":[{"count":1,"memMb":-1' + b"0" * 400 + b"}]}",
+    b'{"spec":"x","steps":[{"count":1,"after":[1' + b"0" * 400 + b"]}]}",
+    b'{"spec":"x","steps":[{"count":1,"requiredLabel":7}]}',
+    b'{"spec":"x","steps":[{"count":1}],"repeatCount":1' + b"0" * 400 + b"}",
+    b'{"spec":"x","steps":[' + b"[]," * 50_000 + b"[]]}",
+    b'{"spec":"' + b"x" * 300_000 + b'"}',
+)
 ODD_KEYS = (
     "",
     " ",
@@ -72,6 +93,7 @@
                 group.create_task(self._query_until(end_at))
                 group.create_task(self._change_rows_until(end_at))
                 group.create_task(self._check_readiness_until(end_at))
+                group.create_task(self._send_odd_bodies_until(end_at))
                 group.create_task(self._play(stack))
             self._register(COPIED_WORKER)
             await self._check_final_state()
@@ -195,6 +217,27 @@
         odd = make_odd(name, self._registration_at(address))
         self.store.put("servers", COPIED_WORKER, odd)
 
+    # Callers' odd bodies
+
+    async def _send_odd_bodies_until(self, end_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_at:
+            await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
+            await self._send_odd_body(self.rng.choice(self.entries))
+
+    async def _send_odd_body(self, entry: Entry) -> None:
+        assert self._session is not None
+        body = self.rng.choice(ODD_BODIES)
+        url = f"http://{entry.callers_link.address}/q0/{self.rng.randrange(2**64):016x}"
+        headers = {"Host": process_soak.HOST, "Content-Type": "application/json"}
+        try:
+            async with self._session.post(url, data=body, headers=headers) as response:
+                status = response.status
+        except aiohttp.ClientError as error:
+            self._expect(entry.is_impaired, f"{body[:60]!r}: {error!r}")
+            return
+        self._expect(status in (400, 413), f"{body[:60]!r}: {status}")
+
     # Checks
 
     async def _check_readiness_until(self, end_at: float) -> None:
