--- a/savorydale/tests/service_soak.py
+++ b/savorydale/tests/service_soak.py
@@ -11,6 +11,7 @@
 import logging
 import random
 import sys
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from savorydale.exceptions import StoreError
@@ -161,7 +162,18 @@
                 burst.create_task(self._inject_disturbance())
 
     async def _inject_disturbance(self) -> None:
-        own_injectors = [
+        if self.rng.random() < 0.5:
+            self.faults += 1
+            injector = self.rng.choice(self._own_injectors())
+            with self.disturbances.disturbed(injector.__name__):
+                await injector()
+            return
+        with self.disturbances.disturbed("branch fault"):
+            await self._inject_fault()
+
+    def _own_injectors(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults besides those of the branch soak."""
+        return [
             self._freeze_entry,
             self._slow_down_entry,
             self._kill_holder,
@@ -173,14 +185,6 @@
             self._delay_worker,
             self._lose_all_store_responses,
         ]
-        if self.rng.random() < 0.5:
-            self.faults += 1
-            injector = self.rng.choice(own_injectors)
-            with self.disturbances.disturbed(injector.__name__):
-                await injector()
-            return
-        with self.disturbances.disturbed("branch fault"):
-            await self._inject_fault()
 
     async def _delay_orders(self) -> None:
         await super()._delay_orders()
@@ -280,7 +284,9 @@
 
 
 @on_virtual_time
-async def run_seed(seed: int) -> ServiceSoakResult:
+async def run_seed(
+    seed: int, soak_class: type[ServiceSoak] = ServiceSoak
+) -> ServiceSoakResult:
     """Run one seed."""
     async with open_branch(
         make_service_plan(seed),
@@ -291,10 +297,10 @@
         attempts=3,
         processor_counts=PROCESSOR_COUNTS[seed % len(PROCESSOR_COUNTS)],
     ) as branch:
-        return await ServiceSoak(branch, seed).run()
+        return await soak_class(branch, seed).run()
 
 
-def main() -> int:
+def main(soak_class: type[ServiceSoak] = ServiceSoak) -> int:
     """Run the seeds and print their violations."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
@@ -305,7 +311,7 @@
     failed = faults = starts = 0
     longest_seconds = 0.0
     for seed in range(options.seed, options.seed + options.seeds):
-        result = run_seed(seed)
+        result = run_seed(seed, soak_class)
         faults += result.faults
         starts += result.starts
         longest_seconds = max(longest_seconds, result.longest_seconds)
