Use quarantined workers if most of a service's are quarantined

What callers would see: while tasks of two jobs fail on every worker, no worker takes any task for 4 s at a time, of services and urgent jobs too.

Cause: a quarantine is decided for each worker alone, though the same tasks fail on all of them. Class: a verdict that doesn't look at what else fails at that moment.

Change: if more than half of three or more workers of a service are quarantined, all of them may get tasks; recent failures still lower a worker's score.

--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -8,7 +8,7 @@
 from savorydale.placement.choice import Candidate
 from savorydale.placement.colocation import Colocation
 from savorydale.placement.headroom import BatchTaskDemand
-from savorydale.placement.health import WorkerHealth
+from savorydale.placement.health import WorkerHealth, must_ignore_quarantine
 from savorydale.storage.rows import RowKey, RowWrite
 
 
@@ -62,7 +62,22 @@
         return writes
 
     def candidates(self, service: str, now: float) -> list[Candidate]:
-        """Return the workers of a service that may get tasks now."""
+        """Return the workers of a service that may get tasks now.
+
+        If most of them are quarantined, all may: see `must_ignore_quarantine`.
+        """
+        available: list[WorkerLink] = []
+        quarantined: set[str] = set()
+        for link in self.links:
+            if link.info.service != service:
+                continue
+            obstacle = self.find_obstacle(link, now)
+            if obstacle is WorkerObstacle.QUARANTINED:
+                quarantined.add(link.worker)
+            if obstacle in (None, WorkerObstacle.QUARANTINED):
+                available.append(link)
+        if must_ignore_quarantine(len(quarantined), len(available)):
+            quarantined.clear()
         return [
             Candidate(
                 link.worker,
@@ -71,8 +86,8 @@
                 self.health_of(link.worker).suspicion_now(now),
                 self.colocation.scarcity_of(link.worker),
             )
-            for link in self.links
-            if link.info.service == service and not self.find_obstacle(link, now)
+            for link in available
+            if link.worker not in quarantined
         ]
 
     def find_obstacle(self, link: WorkerLink, now: float) -> WorkerObstacle | None:
