Count a crash against a task only as far as nothing else explains it

Callers saw a service shown as failed for good after all workers had crashed together twice, 0.6 s after its tasks had started; so did jobs. Cause: a task that was alone on its worker counted as the cause of each crash, and four crashes of any kind gave it up. Class: a verdict from too few observations, which looks at one worker and not at what else failed at that moment.

Now a crash is judged half a second after it was noticed. If a worker without suspects crashed at the same moment, or one whose suspects have all been cleared since, all these crashes had another cause. If all of them had suspects, they may have several culprits as well, so the suspects start in turns, one crashed worker's at a time: culprits crash one at a time then, and if the tasks of one worker run on, all others are cleared at once. Hence the delay of innocent tasks does not grow with their number; no task waits for its turn for more than 4 s. A crash that is apart from others is not attributed if the same worker has crashed under the task before, if it follows a silence, or if workers without suspects crashed within 30 s; it still counts towards the four crashes in all. Until it is judged, a crash is stored as a coincident one, so it is not lost with the holder, and its suspects do not start. Rows get three more counts where they are not 0; older rows are read as before.

Attributing crashes that follow a start at once would blame workers that go down again just after their return.

What it costs: where six to twelve tasks that crash their workers start within seconds, they start up to four times more often than twice.

--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -42,6 +42,7 @@
 SIGNIFICANT_DIGITS = 6
 KEPT_IMAGES_RATIO = 0.7  # of the images, while a fit is too large for its row
 WAITING_TASK = 0  # in a step's row: a task that has never run
+SHORT_CRASHES_LENGTH = 3  # of the counts, while the others are 0
 DONE_TASK = 1  # in a step's row; its runs no longer matter
 LEASE_KEY = RowKey(SCHEDULER_TABLE, "lease")
 
@@ -220,7 +221,21 @@
     if not row.run:
         return WAITING_TASK
     fields = [0, row.run, row.failures, row.worker, row.checkpoint]
-    return [*fields, *row.crashes] if any(row.crashes) else fields
+    return fields + _encode_crashes(row.crashes)
+
+
+def _encode_crashes(crashes: CrashCounts) -> list[int]:
+    if not any(crashes):
+        return []
+    if any(crashes[SHORT_CRASHES_LENGTH:]):
+        return list(crashes)
+    return list(crashes[:SHORT_CRASHES_LENGTH])
+
+
+def _decode_crashes(items: list[Any]) -> CrashCounts:
+    if len(items) not in (0, SHORT_CRASHES_LENGTH, len(CrashCounts._fields)):
+        raise ValueError(f"{len(items)} counts of crashes")
+    return CrashCounts(*map(to_int, items))
 
 
 def decode_step(value: bytes) -> list[TaskRow]:
@@ -244,7 +259,7 @@
         to_int(failures),
         to_text(worker),
         to_text(checkpoint),
-        CrashCounts(*map(to_int, crashes)),
+        _decode_crashes(crashes),
     )
 
 
--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -22,7 +22,7 @@
     state_key,
 )
 from savorydale.orders.interface import EndedRun, EndReason
-from savorydale.placement.crashes import NO_CRASHES
+from savorydale.placement.crashes import NO_CRASHES, CrashCounts
 from savorydale.storage.rows import RowKey, RowWrite
 
 
@@ -155,16 +155,21 @@
         self, step: StepProgress, task: Task, worker: str, is_attributed: bool
     ) -> None:
         """Record that ``worker`` crashed, maybe because of ``task``."""
-        task.crashes = task.crashes.add_crash(task.run, is_attributed)
         task.excluded_workers |= {worker}
-        self.suspect_by_id[task.id] = task
+        self.set_crashes(step, task, task.crashes.add_crash(task.run, is_attributed))
+
+    def set_crashes(self, step: StepProgress, task: Task, counts: CrashCounts) -> None:
+        """Record which crashes count against ``task``."""
+        task.crashes = counts
+        if counts.is_suspect:
+            self.suspect_by_id[task.id] = task
+        else:
+            self.suspect_by_id.pop(task.id, None)
         self._changed_steps[step.key] = step
 
     def clear_suspicion(self, step: StepProgress, task: Task) -> None:
         """Record that ``task`` ran without crashing its worker."""
-        task.crashes = NO_CRASHES
-        self.suspect_by_id.pop(task.id, None)
-        self._changed_steps[step.key] = step
+        self.set_crashes(step, task, NO_CRASHES)
 
     def finish(self, job: JobProgress, status: JobStatus, ended_ms: int) -> None:
         """Record the terminal state of a job; its runs may still be stopping."""
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -73,6 +73,9 @@
     def on_crash(self, link: "WorkerLink", suspects: list[Run]) -> None:
         """Handle a crash of the worker, which one of the suspects may have caused."""
 
+    def on_missing(self, link: "WorkerLink", runs: list[Run]) -> None:
+        """Handle that the worker was gone at the first contact, with all its runs."""
+
     def on_probation_passed(self, link: "WorkerLink", run: Run) -> None:
         """Handle a run that did not crash the worker soon after its start."""
 
@@ -88,7 +91,8 @@
     time, or the connections to a large fleet would all time out.
 
     ``last_contact_at`` is on the loop's clock. A crash is reported once, until the
-    worker answers again. Ended runs up to ``processed_number`` were passed to the
+    worker answers again; it may have happened at any time in a longer silence before it
+    was noticed. Ended runs up to ``processed_number`` were passed to the
     listener; those up to ``acknowledged_number`` are durable.
     """
 
@@ -128,6 +132,8 @@
         self._acknowledged = asyncio.Event()
         self._is_incarnation_gone = False
         self._tasks_in_flight: set[TaskId] = set()  # their starts are not answered yet
+        self.crash_noticed_at = 0.0
+        self.is_crash_after_silence = False
         self._crash_candidates: list[Run] = []
         self._failure: BaseException | None = None
 
@@ -442,6 +448,7 @@
         this lease holder, an earlier one may have counted the crash, and which runs had
         passed their probation is unknown: only isolated runs are suspects then.
         """
+        is_silent = not self.is_in_contact(asyncio.get_running_loop().time())
         self.last_contact_at = None  # no more starts before it answers again
         if self._is_incarnation_gone:
             return
@@ -450,8 +457,9 @@
             return
         runs = list(self.run_by_task.values())
         if self.born_ms is not None:
-            self._record_crash(runs)
+            self._record_crash(runs, is_silent)
             return
+        self._listener.on_missing(self, runs)
         isolated = [run for run in runs if run.is_isolated and not run.was_suspected]
         if isolated:
             self._record_crash(isolated)
@@ -480,8 +488,12 @@
     def _is_in_service(self) -> bool:
         return self.is_registered and not self.info.is_draining
 
-    def _record_crash(self, candidates: list[Run]) -> None:
+    def _record_crash(
+        self, candidates: list[Run], is_after_silence: bool = False
+    ) -> None:
         self._crash_candidates = candidates
+        self.crash_noticed_at = asyncio.get_running_loop().time()
+        self.is_crash_after_silence = is_after_silence
         self._report_crash()
 
     def _report_crash(self) -> None:
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -22,6 +22,7 @@
 )
 from savorydale.placement.failed_placements import FailedPlacements
 from savorydale.placement.isolation import SuspectIsolation
+from savorydale.placement.start_turns import StartTurns
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
@@ -77,6 +78,7 @@
         self._starts: list[PendingStart] = []
         self._refused_at_by_step: dict[tuple[RowKey, bool], float] = {}
         self._isolation = SuspectIsolation()
+        self._turns = StartTurns()
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
 
@@ -113,6 +115,7 @@
         waiting = [(step, step.waiting_tasks()) for step in steps]
         waiting = [item for item in waiting if item[1]]
         self._observe_batch_demand(waiting, now)
+        waiting = self._leave_out_held_suspects(waiting, now)
         self._begin_isolation(now)
         waiting = [part for item in waiting for part in self._split_suspects(*item)]
         fleets = Fleets(self._state, now)
@@ -154,6 +157,27 @@
         refused_at = self._refused_at_by_step.get((step.key, is_suspect))
         return refused_at is not None and now - refused_at < REFUSAL_SECONDS
 
+    def _leave_out_held_suspects(
+        self, waiting: list[tuple[StepProgress, list[Task]]], now: float
+    ) -> list[tuple[StepProgress, list[Task]]]:
+        """Return the waiting tasks without suspects that must start at another time."""
+        history = self._state.crash_history
+        self._turns.begin_round(
+            self._state.job_tracker.suspect_by_id,
+            history.unjudged_tasks(),
+            history.coincident_groups(),
+            len(self._state.link_by_worker),
+            now,
+        )
+        held = self._turns.held
+        if not held:
+            return waiting
+        parts = [
+            (step, [task for task in tasks if task.id not in held])
+            for step, tasks in waiting
+        ]
+        return [part for part in parts if part[1]]
+
     def _begin_isolation(self, now: float) -> None:
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
@@ -161,7 +185,7 @@
         suspects = {
             name: task
             for name, task in self._state.job_tracker.suspect_by_id.items()
-            if task.crashes.must_be_isolated
+            if task.crashes.must_be_isolated or name in self._turns.small_turn
         }
         self._isolation.begin_round(suspects, run_by_task_by_worker, now)
 
@@ -342,7 +366,7 @@
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
-            run.is_isolated = task.crashes.must_be_isolated
+            run.is_isolated = self._isolation.is_suspect([task])
             link.reserve(run)
             context.count_by_worker[link.worker] += 1
             if step.spec.backfill:
@@ -359,6 +383,7 @@
             self._align_gang(chosen)
         for task, run, link in chosen:
             self._isolation.record_placement(link.worker, task.id)
+            self._turns.record_start(task.id, now)
             self._assign(step, task, run, link)
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -5,6 +5,7 @@
 from savorydale.placement.advice import AdviceCache
 from savorydale.placement.choice import Candidate
 from savorydale.placement.colocation import Colocation
+from savorydale.placement.crash_history import CrashHistory
 from savorydale.placement.headroom import BatchTaskDemand
 from savorydale.placement.health import WorkerHealth
 from savorydale.storage.rows import RowKey, RowWrite
@@ -22,6 +23,7 @@
         self.colocation = Colocation()
         self.batch_demand = BatchTaskDemand()
         self.advice = AdviceCache()
+        self.crash_history = CrashHistory()
         self.ended_ms_by_job: dict[str, int] = {}
         self._health_by_worker: dict[str, WorkerHealth] = {}
         self._write_by_row: dict[RowKey, RowWrite] = {}
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -164,8 +164,6 @@
                 continue
             run = Run(task.id, task.run, step.spec, now)
             run.is_isolated = task.crashes.must_be_isolated
-            run.was_suspected = (
-                task.crashes.is_suspect and task.crashes.last_counted_run == run.number
-            )
+            run.was_suspected = task.crashes.last_counted_run == run.number
             run.stop_requested = job.status.is_terminal
             runs_by_worker.setdefault(task.worker, []).append(run)
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -19,6 +19,7 @@
 from savorydale.jobs.tracker import EndEffect
 from savorydale.orders.interface import (
     EndedRun,
+    EndReason,
     Resources,
     StartObstacle,
     WorkerInfo,
@@ -145,6 +146,7 @@
             feed = JobFeed(self)
             feed.apply(loaded.cancellations, loaded.jobs_version)
             self._finish_decided_jobs()
+            self._crash_handler.restore()
             group.create_task(
                 follow_table(
                     self._store,
@@ -283,6 +285,8 @@
         now = asyncio.get_running_loop().time()
         effect = self._state.job_tracker.apply_end(link.worker, end, now)
         self._counters.increment(f"end.{end.reason}")
+        if end.reason is EndReason.DONE:
+            self._crash_handler.on_done(end.task)
         log.info(
             "run ended",
             extra={
@@ -358,6 +362,10 @@
         self._crash_handler.on_crash(link, suspects)
         self.wake()
 
+    def on_missing(self, link: WorkerLink, runs: list[Run]) -> None:
+        """Note that a worker was gone when this lease holder first contacted it."""
+        self._crash_handler.on_missing(link, runs)
+
     def on_probation_passed(self, link: WorkerLink, run: Run) -> None:
         """Clear the task of a run that did not crash its worker."""
         if self._crash_handler.on_probation_passed(link, run):
@@ -523,6 +531,7 @@
             if self._registration_age.must_give_up(self._lease.is_current()):
                 raise StoreUnreachableError("the registrations cannot be read")
             self._housekeeping.run_due()
+            self._crash_handler.judge_due()
             self._load_report.report()
             self._mover.move_runs()
             self.wake()
--- a/savorydale/tests/orders/worker_link_tests.py
+++ b/savorydale/tests/orders/worker_link_tests.py
@@ -38,6 +38,7 @@
         self.born_ms = 1
         self.active = {}
         self.crashes = []
+        self.missing = []
         self.passed = []
         self.lost = []
         self.waits_ms = []
@@ -64,6 +65,9 @@
     def on_crash(self, link, suspects):
         self.crashes.append([run.task.index for run in suspects])
 
+    def on_missing(self, link, runs):
+        self.missing.append([run.task.index for run in runs])
+
     def on_probation_passed(self, link, run):
         self.passed.append(run.task.index)
 
@@ -227,6 +231,7 @@
     await asyncio.sleep(3)
     task.cancel()
     assert worker.crashes == []
+    assert worker.missing == [[0]]
 
 
 @on_virtual_time
--- a/savorydale/tests/placement/crashes_tests.py
+++ b/savorydale/tests/placement/crashes_tests.py
@@ -5,8 +5,10 @@
 from savorydale.jobs.model import StepSpec, TaskId
 from savorydale.orders.runs import Run, RunState
 from savorydale.placement.crashes import (
+    NO_EVIDENCE,
     PROBATION_SECONDS,
     CrashCounts,
+    CrashEvidence,
     find_suspects,
     has_passed_probation,
     seconds_to_clearance,
@@ -33,6 +35,57 @@
     assert CrashCounts(suspected, attributed).is_given_up is is_given_up
 
 
+@pytest.mark.parametrize(
+    ("counts", "is_given_up"),
+    [
+        (CrashCounts(coincident=4, coincident_alone=4), False),
+        (CrashCounts(coincident=5), True),
+        (CrashCounts(1, coincident=2, coincident_alone=2), False),
+        (CrashCounts(1, coincident=3), True),
+        (CrashCounts(1, 1, coincident=1), False),
+        (CrashCounts(1, 1, coincident=1, coincident_alone=1), True),
+        (CrashCounts(explained=9), False),
+        (CrashCounts(1, explained=9), False),
+        (CrashCounts(2, explained=1), False),
+        (CrashCounts(2, explained=2), True),
+        (CrashCounts(1, coincident=1, explained=1), False),
+        (CrashCounts(1, coincident=1, explained=2), True),
+        (CrashCounts(coincident=4, explained=9), False),
+        (CrashCounts(coincident=1, explained=9), False),
+    ],
+)
+def test_crashes_that_others_may_explain_count_less(counts, is_given_up):
+    assert counts.is_given_up is is_given_up
+
+
+@pytest.mark.parametrize(
+    ("counts", "starts_at_its_own_time", "must_be_isolated"),
+    [
+        (CrashCounts(2), False, True),
+        (CrashCounts(1, 1), True, True),
+        (CrashCounts(coincident=1), False, False),
+        (CrashCounts(coincident=1, coincident_alone=1), True, True),
+        (CrashCounts(coincident=2), True, False),
+        (CrashCounts(coincident=3), True, True),
+        (CrashCounts(1, coincident=1), True, True),
+        (CrashCounts(explained=9), False, False),
+    ],
+)
+def test_suspects_of_coincident_crashes_start_apart_from_each_other(
+    counts, starts_at_its_own_time, must_be_isolated
+):
+    assert counts.must_start_at_its_own_time is starts_at_its_own_time
+    assert counts.must_be_isolated is must_be_isolated
+
+
+def test_crash_that_is_judged_again_replaces_the_earlier_verdict():
+    coincident = CrashEvidence(coincident=1, coincident_alone=1)
+    counts = CrashCounts(1, 1, 3).replace_evidence(NO_EVIDENCE, coincident)
+    assert counts == CrashCounts(1, 1, 3, 1, 1)
+    counts = counts.replace_evidence(coincident, CrashEvidence(explained=1))
+    assert counts == CrashCounts(1, 1, 3, 0, 0, 1)
+
+
 @pytest.mark.parametrize(
     ("suspected", "attributed", "must_be_isolated"),
     [(0, 0, False), (1, 0, False), (1, 1, True), (2, 0, True)],
