--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -23,6 +23,7 @@
 )
 from savorydale.placement.failed_placements import FailedPlacements
 from savorydale.placement.isolation import SuspectIsolation
+from savorydale.placement.start_turns import StartTurns
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
 from savorydale.scheduler.planning_counts import PlanningCounts
@@ -105,6 +106,7 @@
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._refusals = Refusals(state, self._isolation, self.wait_decisions)
+        self._start_turns = StartTurns()
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
 
@@ -145,6 +147,7 @@
         waiting = [(step, step.waiting_tasks()) for step in steps]
         waiting = [item for item in waiting if item[1]]
         self._observe_batch_demand(waiting, now)
+        waiting = self._leave_out_held_suspects(waiting, now)
         self._begin_isolation(now)
         waiting = [part for item in waiting for part in self._split_suspects(*item)]
         fleets = Fleets(self._state, now)
@@ -259,6 +262,32 @@
             fits_somewhere = open_fleet.fits(step.spec)
             failed_placements.add(service, step.spec, min_speed, fits_somewhere)
 
+    def _leave_out_held_suspects(
+        self, waiting: list[tuple[StepProgress, list[Task]]], now: float
+    ) -> list[tuple[StepProgress, list[Task]]]:
+        """Return the waiting tasks without suspects that must start at another time."""
+        history = self._state.crash_history
+        self._start_turns.begin_round(
+            self._state.job_tracker.suspect_by_id,
+            history.unjudged_tasks(),
+            history.coincident_groups(),
+            len(self._state.link_by_worker),
+            now,
+        )
+        held = self._start_turns.held
+        if not held:
+            return waiting
+        for step, tasks in waiting:
+            held_tasks = [task for task in tasks if task.id in held]
+            self.wait_decisions.record_skip(
+                step.spec, held_tasks, WaitReason.SUSPECT_WAITS_FOR_TURN, now
+            )
+        parts = [
+            (step, [task for task in tasks if task.id not in held])
+            for step, tasks in waiting
+        ]
+        return [part for part in parts if part[1]]
+
     def _begin_isolation(self, now: float) -> None:
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
@@ -266,7 +295,7 @@
         suspects = {
             name: task
             for name, task in self._state.job_tracker.suspect_by_id.items()
-            if task.crashes.must_be_isolated
+            if task.crashes.must_be_isolated or name in self._start_turns.small_turn
         }
         self._isolation.begin_round(suspects, run_by_task_by_worker, now)
 
@@ -496,7 +525,7 @@
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
-            run.is_isolated = task.crashes.must_be_isolated
+            run.is_isolated = self._isolation.is_suspect([task])
             link.reserve(run)
             context.count_by_worker[link.worker] += 1
             if step.spec.backfill:
@@ -514,6 +543,7 @@
             self._align_gang(chosen)
         for task, run, link in chosen:
             self._isolation.record_placement(link.worker, task.id)
+            self._start_turns.record_start(task.id, now)
             self._assign(step, task, run, link)
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -31,6 +31,7 @@
     OTHER_TASK_REFUSED = "refusal_of_other_task_remembered"
     COVERED = "covered_by_failed_placement"
     GANG_NOT_ENDED = "gang_members_not_ended"
+    SUSPECT_WAITS_FOR_TURN = "suspect_waits_for_turn"
     # The task was tried, and no worker could take it.
     NO_CAPACITY = "no_capacity"
     WORKERS_DRAINING = "workers_draining"
