Keep jobs that miss their cutoff behind others in turns

Cause: a turn could give scarce capacity to a job that earns nothing any more, which by its rank comes after all others. Change: such a job has turns if several of its tasks fit; without ample capacity it comes after all others. Result: of two new tests one passes before and after (with ample capacity the job is placed within 3 s); the other failed before (`assert None is not None`: a late job held the only place, and another job was not placed within 60 s) and passes now. The tests in scheduler/ pass.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -34,7 +34,7 @@
 # Share of a round's time, after the ranking, for steps that were not considered for
 # longest, if not all are considered in the order of their rank.
 TURN_RATIO = 0.3
-MIN_TURNS = 4  # of each round: a step of each kind
+MIN_TURNS = 5  # of each round: a step of each kind
 MIN_PLACING_SECONDS = 0.02  # of each round, however long the ranking takes
 MILLISECONDS_PER_SECOND = 1000
 
@@ -116,7 +116,9 @@
 
         The last `TURN_RATIO` of such a round goes to the steps that were not considered
         for longest, `MIN_TURNS` of them in any case. So each service is considered at
-        least once in as many rounds as steps of its kind wait; see `Turns.order`.
+        least once in as many rounds as steps of its kind wait; see `Turns.order`. The
+        same holds for each other step, but for jobs that miss their cutoff while hardly
+        any capacity for them is free.
         """
         started_at = asyncio.get_running_loop().time()
         self.wait_decisions.record_round()
@@ -370,8 +372,8 @@
             ranked += [(rank, step, [task]) for rank, task in ranks]
         ranked.sort(key=lambda item: item[0])
         return [
-            self._make_waiting(position, step, tasks)
-            for position, (_, step, tasks) in enumerate(ranked)
+            self._make_waiting(position, rank, step, tasks)
+            for position, (rank, step, tasks) in enumerate(ranked)
         ]
 
     def _was_ample_for(self, step: StepProgress, fleets: Fleets) -> bool:
@@ -380,11 +382,11 @@
         return fleet.free_before.was_ample_for(step.spec)
 
     def _make_waiting(
-        self, position: int, step: StepProgress, tasks: list[Task]
+        self, position: int, rank: PlacementRank, step: StepProgress, tasks: list[Task]
     ) -> WaitingTasks:
         is_suspect = self._isolation.is_suspect(tasks)
         key = tasks[0].id if is_suspect else step
-        return WaitingTasks(position, step, tasks, key, is_suspect)
+        return WaitingTasks(position, step, tasks, key, is_suspect, rank.misses_cutoff)
 
     def _needs_advice(self, step: StepProgress) -> bool:
         configuration = self._read_configuration()
--- a/savorydale/scheduler/turns.py
+++ b/savorydale/scheduler/turns.py
@@ -20,7 +20,8 @@
 class WaitingTasks(NamedTuple):
     """Waiting tasks of one step that are placed together; see `TurnKey`.
 
-    ``position`` is their place in the order of the ranks.
+    ``position`` is their place in the order of the ranks. ``misses_cutoff`` tells
+    whether their job ends too late in any case; see `PlacementRank`.
     """
 
     position: int
@@ -28,6 +29,7 @@
     tasks: list[Task]
     key: TurnKey
     is_suspect: bool
+    misses_cutoff: bool
 
 
 class Turns:
@@ -52,19 +54,23 @@
         """Return what was not considered for longest first, of each kind in turn.
 
         The kinds are services and other steps, and of these, those of which several
-        tasks fit come before the rest. So none delays the others for good.
+        tasks fit come before the rest. So none delays the others for good. Jobs that
+        miss their cutoff are the last kind if several of their tasks fit; without ample
+        capacity they come after all others, as they do by their rank.
         ``has_capacity`` tells whether several tasks of a step fit on the workers.
         """
         by_age = sorted(
             waiting, key=lambda each: (self._considered_at[each.key], each.position)
         )
-        by_kind: dict[tuple[bool, bool], list[WaitingTasks]] = collections.defaultdict(
-            list
+        by_kind: dict[tuple[bool, bool, bool], list[WaitingTasks]] = (
+            collections.defaultdict(list)
         )
         for each in by_age:
-            kind = not has_capacity(each.step), not each.step.spec.long_running
+            is_tight = not has_capacity(each.step)
+            kind = each.misses_cutoff, is_tight, not each.step.spec.long_running
             by_kind[kind].append(each)
-        return _alternate([by_kind[kind] for kind in sorted(by_kind)])
+        left_out = by_kind.pop((True, True, True), [])
+        return [*_alternate([by_kind[kind] for kind in sorted(by_kind)]), *left_out]
 
 
 def _alternate(lists: Sequence[list[WaitingTasks]]) -> list[WaitingTasks]:
--- a/savorydale/tests/scheduler/planner_overload_tests.py
+++ b/savorydale/tests/scheduler/planner_overload_tests.py
@@ -28,6 +28,7 @@
 PAUSE_SECONDS = 0.1  # between two rounds of the fixture
 URGENT = QUEUE._replace(priority=0, objective_ms=1_000_000.0)
 LOWEST = QUEUE._replace(priority=9)
+HOPELESS = QUEUE._replace(stretch=0.0, objective_ms=0.0)  # each job is too late at once
 SMALL_SERVICE = SERVICE._replace(cpu_millicores=1000)
 SMALL_BATCH = StepSpec(1, 1000, 1000, estimate_ms=500)
 # Steps that need all workers to be scored, and fit on none.
@@ -202,3 +203,27 @@
     seconds = await seconds_until_placed(fixture, JOB, 20)
     assert seconds is not None
     assert seconds <= MAX_WAIT_SECONDS
+
+
+@on_virtual_time
+async def test_job_that_cannot_meet_its_cutoff_takes_no_turn_before_others():
+    fixture = PlannerFixture(workers=1)
+    submit_refused_steps(fixture, REFUSED_STEPS, WIDE_GANG)
+    batch = StepSpec(1, 16_000, 1000, estimate_ms=500)  # one at a time fits
+    with pytest.MonkeyPatch.context() as patch, slow_scoring(patch, STEP_SECONDS):
+        fixture.submit("late", batch, HOPELESS)
+        await fixture.plan(5)
+        fixture.submit(JOB, batch, LOWEST._replace(objective_ms=1_000_000.0))
+        seconds = await seconds_until_placed(fixture, JOB, 60)
+    assert seconds is not None
+
+
+@on_virtual_time
+async def test_job_that_cannot_meet_its_cutoff_has_a_turn_if_capacity_is_ample():
+    fixture = PlannerFixture(workers=1)
+    submit_refused_steps(fixture, REFUSED_STEPS, WIDE_GANG)
+    with pytest.MonkeyPatch.context() as patch, slow_scoring(patch, STEP_SECONDS):
+        fixture.submit(JOB, SMALL_BATCH, HOPELESS)
+        seconds = await seconds_until_placed(fixture, JOB, 20)
+    assert seconds is not None
+    assert seconds <= MAX_WAIT_SECONDS
