Leave out VMs of the platform's list that cannot be read

What callers saw, in the first product (`savorydale serve`): one item in the platform's list of VMs with a field missing, or that is no object, ended each entry's process that read the list, and again after each start.

Cause: each item became a VM without a check. A TypeError or KeyError left the task that follows the list, and with it the process; numbers of 400 digits, unknown states and addresses with no port came through to placement.

Change: items are decoded with bounds; one that cannot be read is left out, and the reasons are logged when they change. Fields that are not known are ignored. A list that cannot be read is an error of the store, after which the list is read again. The check of addresses moves to a module that both products use.

--- a/savorydale/platform/registrations.py
+++ b/savorydale/platform/registrations.py
@@ -4,11 +4,11 @@
 here, so that no later calculation, header or connection meets such a value.
 """
 
-import ipaddress
 import re
 
 from savorydale.exceptions import RowFormatError
 from savorydale.orders.interface import Resources, WorkerInfo
+from savorydale.utils.addresses import to_address
 from savorydale.utils.json_values import (
     JsonObject,
     load_json_object,
@@ -19,7 +19,6 @@
 )
 
 WORKER_STATES = ("ready", "draining")
-MAX_PORT = 65_535
 MAX_MILLICORES = 10_000_000
 MAX_MEMORY_MB = 1_000_000_000
 MAX_ACCELERATORS = 10_000
@@ -27,9 +26,6 @@
 MAX_UNIX_MS = 100_000_000_000_000
 MAX_REMAINING_MS = 1_000_000_000_000
 WORKER_ID = re.compile(r"[!-~]{1,200}\Z")  # it is sent in a header
-PORT = re.compile(r"[0-9]{1,5}\Z")
-HOST_NAME = re.compile(r"(?!-)[A-Za-z0-9-]{1,63}(\.[A-Za-z0-9-]{1,63})*\Z")
-MAX_HOST_CHARACTERS = 253
 
 
 def decode_worker(worker: str, value: bytes) -> WorkerInfo:
@@ -49,7 +45,7 @@
             raise RowFormatError("unknown state")
         return WorkerInfo(
             worker,
-            _to_address(data["address"]),
+            to_address(data["address"]),
             to_text(data["service"]),
             to_text(data["zone"]),
             data["state"] == "draining",
@@ -87,33 +83,3 @@
     if value is None:
         return None
     return to_whole_number(value, -MAX_REMAINING_MS, MAX_REMAINING_MS)
-
-
-def _to_address(value: object) -> str:
-    """Return ``value`` if it is ``host:port``, else raise `RowFormatError`."""
-    address = to_text(value)
-    host, _, port = address.rpartition(":")
-    if not PORT.match(port) or not 1 <= int(port) <= MAX_PORT:
-        raise RowFormatError("the address has no valid port")
-    if not _is_host(host):
-        raise RowFormatError("the address has no valid host")
-    return address
-
-
-def _is_host(host: str) -> bool:
-    if host.startswith("[") and host.endswith("]"):
-        return _is_ip_address(host[1:-1], ipaddress.IPv6Address)
-    if len(host) > MAX_HOST_CHARACTERS or not HOST_NAME.match(host):
-        return False
-    last_part = host.rpartition(".")[2]
-    return not last_part.isdigit() or _is_ip_address(host, ipaddress.IPv4Address)
-
-
-def _is_ip_address(
-    text: str, parse: type[ipaddress.IPv4Address] | type[ipaddress.IPv6Address]
-) -> bool:
-    try:
-        parse(text)
-    except ValueError:
-        return False
-    return True
--- a/savorydale/storage/client.py
+++ b/savorydale/storage/client.py
@@ -4,11 +4,13 @@
 import concurrent.futures
 import contextlib
 import json
+import logging
 from collections.abc import Iterable, Iterator, Mapping
 
 import urllib3
 
 from savorydale.exceptions import (
+    RowFormatError,
     StoreOutcomeUnknownError,
     StoreUnreachableError,
     TransactionConflictError,
@@ -19,11 +21,15 @@
     Transaction,
     VmStatus,
 )
+from savorydale.storage.vm_list import decode_vms
+from savorydale.utils.json_values import load_json_object, to_list
 
 MAX_CONNECTIONS = 8
 HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 
+log = logging.getLogger(__name__)
+
 
 class HttpPlatform:
     """A `Platform` that speaks JSON over HTTP.
@@ -46,6 +52,7 @@
     ):
         self._url = url.rstrip("/")
         self._executor = executor
+        self._last_reasons: list[str] = []
         self._pool = urllib3.PoolManager(
             maxsize=MAX_CONNECTIONS,
             retries=False,
@@ -87,7 +94,19 @@
     async def list_vms(self) -> list[VmStatus]:
         """Return the list of VMs, which may be out of date."""
         response_body = await self._read("GET", "/vms", None)
-        return [VmStatus(**item) for item in response_body["vms"]]
+        try:
+            found = decode_vms(to_list(response_body.get("vms")))
+        except RowFormatError as error:
+            raise StoreUnreachableError(f"malformed list of VMs: {error}") from error
+        self._log_skipped_vms(found.reasons)
+        return found.vms
+
+    def _log_skipped_vms(self, reasons: list[str]) -> None:
+        """Log why VMs are skipped, unless the last list had the same reasons."""
+        if reasons and reasons != self._last_reasons:
+            extra = {"vms": len(reasons), "reason": reasons[0]}
+            log.warning("VMs are skipped", extra=extra)
+        self._last_reasons = reasons
 
     async def _read(
         self, method: str, path: str, body: JsonObject | None
@@ -118,9 +137,9 @@
         if response.status == HTTP_UNAVAILABLE:
             raise StoreUnreachableError("the platform is out of service")
         try:
-            response_body = json.loads(response.data)
-        except ValueError as error:
-            raise StoreOutcomeUnknownError("the answer is not JSON") from error
+            response_body = load_json_object(response.data)
+        except RowFormatError as error:
+            raise StoreOutcomeUnknownError("the answer is no JSON object") from error
         if response.status == HTTP_CONFLICT:
             raise TransactionConflictError(response_body["keys"])
         if response.status >= 300:
