--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -189,6 +189,10 @@
         wait_seconds = self.renew_wait_ms / MILLISECONDS_PER_SECOND
         return wait_seconds + CONTACT_TIMEOUT_SECONDS
 
+    def latest_lapse_at(self) -> float:
+        """Return when all leases of the worker have certainly lapsed."""
+        return self._lease_clock.latest_lapse_at()
+
     def continue_tokens_of(self, predecessor: "WorkerLink") -> None:
         """Take over the fencing token of a closed link to the same worker.
 
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -15,8 +15,6 @@
 from savorydale.placement.choice import (
     MIN_BACKFILL_SPEED,
     Candidate,
-    PlacementContext,
-    WorkerChooser,
     can_host,
     min_backfill_speed,
     unused_millicores,
@@ -31,7 +29,7 @@
 from savorydale.scheduler.state import SchedulerState
 from savorydale.scheduler.turns import Turns, WaitingTasks
 from savorydale.scheduler.waiting import WaitDecisions, WaitReason
-from savorydale.storage.rows import RowKey
+from savorydale.scheduler.worker_scores import WorkerScores
 
 MAX_ROUND_SECONDS = 0.05
 # Share of a round's time, after the ranking, for steps that were not considered for
@@ -62,15 +60,6 @@
     failed_placements: FailedPlacements
 
 
-class ScoredFleet(NamedTuple):
-    """The scores of the workers of ``fleet`` on which a task of a step may start."""
-
-    fleet: Fleet
-    candidates: list[Candidate]
-    context: PlacementContext
-    chooser: WorkerChooser
-
-
 class PlannerLimits(NamedTuple):
     """Limits on occurrences of a job.
 
@@ -102,7 +91,7 @@
         self._policy = policy
         self._starts: list[PendingStart] = []
         self._turns = Turns()
-        self._scored_by_service: dict[RowKey, ScoredFleet] = {}
+        self._scores = WorkerScores(state)
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._refusals = Refusals(state, self._isolation, self.wait_decisions)
@@ -159,7 +148,7 @@
         self._refusals.begin_round(each.key for each in ranked)
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
-        self._scored_by_service.clear()
+        self._scores.clear()
         if is_complete:
             self._refusals.clear()
         return is_complete
@@ -336,13 +325,11 @@
         """
         min_speed = self._min_speed(step, tasks, fleet, now)
         fleet = self._allowed_fleet(step, fleet, now)
-        candidates = fleet.usable_for(step.spec, step.count_by_worker())
-        if not candidates:
+        scored = self._scores.score_anew(step, fleet, min_speed)
+        if scored is None:
             return []
-        context = self._placement_context(step, fleet, candidates, min_speed)
-        chooser = WorkerChooser(step, candidates, context)
         task = Task(tasks[0].id)  # where it has failed does not matter here
-        return list(iter(lambda: chooser.choose(task), None))
+        return list(iter(lambda: scored.chooser.choose(task), None))
 
     def _open_to_others(self, fleet: Fleet) -> Fleet:
         """Return the fleet without the workers that are held for suspects."""
@@ -514,28 +501,21 @@
         is_slow = step.spec.backfill and min_speed < MIN_BACKFILL_SPEED
         if is_slow and not step.spec.gang:
             tasks = tasks[:1]
-        scored = self._score_workers(step, fleet, min_speed)
+        scored = self._scores.score(step, fleet, min_speed)
         if scored is None:
             self._counts.count_refusal(step.spec, [])
             return False
-        _, candidates, context, chooser = scored
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         for task in tasks:
-            candidate = chooser.choose(task)
+            candidate = scored.chooser.choose(task)
             if candidate is None:
-                self._counts.count_refusal(step.spec, candidates)
+                self._counts.count_refusal(step.spec, scored.candidates)
                 break
             link = self._state.link_by_worker[candidate.worker]
             run = Run(task.id, task.run + 1, step.spec, now)
             run.is_isolated = self._isolation.is_suspect([task])
             link.reserve(run)
-            context.count_by_worker[link.worker] += 1
-            if step.spec.backfill:
-                self._state.colocation.record_placement(link, step.spec)
-                speed = self._state.colocation.speed_of(link, step.spec)
-                context.speed_by_worker[link.worker] = speed
-            context.similarity_by_worker.update(self._similarities(step, [candidate]))
-            chooser.record_placement()
+            self._scores.record_placement(scored, step, candidate)
             chosen.append((task, run, link))
         if step.spec.gang and len(chosen) < len(tasks):
             for _, run, link in chosen:
@@ -550,94 +530,10 @@
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
-    def _score_workers(
-        self, step: StepProgress, fleet: Fleet, min_speed: float
-    ) -> ScoredFleet | None:
-        """Score the workers for a step, if it fits on any.
-
-        The replicas of a service share the scores during a round.
-        """
-        if not step.spec.long_running:
-            return self._score_anew(step, fleet, min_speed)
-        scored = self._scored_by_service.get(step.key)
-        if (
-            scored is None
-            or scored.fleet.candidates is not fleet.candidates
-            or scored.context.service_headroom != self._service_headroom(step, fleet)
-        ):
-            scored = self._score_anew(step, fleet, min_speed)
-            if scored is not None:
-                self._scored_by_service[step.key] = scored
-            return scored
-        changed = scored.chooser.find_changed()
-        scored.context.similarity_by_worker.update(self._similarities(step, changed))
-        scored.context.count_by_worker.clear()
-        scored.context.count_by_worker.update(step.count_by_worker())
-        scored.chooser.refresh()
-        return scored
-
-    def _score_anew(
-        self, step: StepProgress, fleet: Fleet, min_speed: float
-    ) -> ScoredFleet | None:
-        candidates = fleet.usable_for(step.spec, step.count_by_worker())
-        if not candidates:
-            return None
-        context = self._placement_context(step, fleet, candidates, min_speed)
-        chooser = WorkerChooser(step, candidates, context)
-        return ScoredFleet(fleet, candidates, context, chooser)
-
-    def _placement_context(
-        self,
-        step: StepProgress,
-        fleet: Fleet,
-        candidates: list[Candidate],
-        min_speed: float,
-    ) -> PlacementContext:
-        return PlacementContext(
-            step.count_by_worker(),
-            self._speeds(step, candidates),
-            self._similarities(step, candidates),
-            min_speed,
-            self._service_headroom(step, fleet),
-            fleet.is_full,
-        )
-
     def _configuration_version(self) -> int:
         configuration = self._read_configuration()
         return configuration.version if configuration else 0
 
-    def _service_headroom(self, step: StepProgress, fleet: Fleet) -> float:
-        """Return the capacity to keep free beside a service, 0 if there is plenty."""
-        if not step.spec.long_running or fleet.has_ample_capacity_for(step.spec):
-            return 0.0
-        return self._state.batch_demand.headroom_per_worker(len(fleet.all_candidates))
-
-    def _speeds(
-        self, step: StepProgress, candidates: list[Candidate]
-    ) -> dict[str, float]:
-        """Return the speed at which the step's backfill may run on each worker."""
-        if not step.spec.backfill:
-            return {}
-        return {
-            candidate.worker: self._state.colocation.speed_of(
-                self._state.link_by_worker[candidate.worker], step.spec
-            )
-            for candidate in candidates
-        }
-
-    def _similarities(
-        self, step: StepProgress, candidates: list[Candidate]
-    ) -> dict[str, float]:
-        """Return the similarity of the services on each worker to the step's tasks."""
-        if not step.spec.long_running:
-            return {}
-        return {
-            candidate.worker: self._state.colocation.similarity_of(
-                self._state.link_by_worker[candidate.worker], step.spec
-            )
-            for candidate in candidates
-        }
-
     def _align_gang(self, chosen: list[tuple[Task, Run, WorkerLink]]) -> None:
         """Give all members the same run number and checkpoint."""
         newest = max((task for task, _, _ in chosen), key=lambda task: task.run)
--- a/savorydale/scheduler/wait_report.py
+++ b/savorydale/scheduler/wait_report.py
@@ -190,7 +190,7 @@
     """Describe what ends the wait for a run that is assigned."""
     if link is None or run is None:
         return "the worker's link has no such run"
-    lapses_in = link._lease_clock.latest_lapse_at() - now
+    lapses_in = link.latest_lapse_at() - now
     contact_age = _age(link.last_contact_at, now)
     return (
         f"run {run.state.value}, silent for {contact_age} s, "
--- a/savorydale/tests/scheduler/planner_fixture.py
+++ b/savorydale/tests/scheduler/planner_fixture.py
@@ -11,6 +11,7 @@
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyAnswer
 from savorydale.scheduler import planner as planner_module
+from savorydale.scheduler import worker_scores as worker_scores_module
 from savorydale.scheduler.planner import Planner, PlannerLimits
 from savorydale.scheduler.state import SchedulerState
 
@@ -87,14 +88,14 @@
 
 
 @contextlib.contextmanager
-def slow_calls(monkeypatch, name, seconds):
-    """Advance the clock by ``seconds`` for each call of what the planner imports.
+def slow_calls(monkeypatch, module, name, seconds):
+    """Advance the clock by ``seconds`` for each call of what a module imports.
 
     Yields a function that advances it by any other number of seconds.
     """
     loop = asyncio.get_running_loop()
     time = loop.time
-    function = getattr(planner_module, name)
+    function = getattr(module, name)
     spent = 0.0
 
     def spend(seconds):
@@ -105,7 +106,7 @@
         spend(seconds)
         return function(*args)
 
-    monkeypatch.setattr(planner_module, name, call_slowly)
+    monkeypatch.setattr(module, name, call_slowly)
     monkeypatch.setattr(loop, "time", lambda: time() + spent)
     yield spend
     monkeypatch.undo()
@@ -113,12 +114,12 @@
 
 def slow_scoring(monkeypatch, seconds):
     """Advance the clock by ``seconds`` for each step whose workers are scored."""
-    return slow_calls(monkeypatch, "WorkerChooser", seconds)
+    return slow_calls(monkeypatch, worker_scores_module, "WorkerChooser", seconds)
 
 
 def slow_ranking(monkeypatch, seconds):
     """Advance the clock by ``seconds`` for each step that is ranked."""
-    return slow_calls(monkeypatch, "rank_step", seconds)
+    return slow_calls(monkeypatch, planner_module, "rank_step", seconds)
 
 
 def suspect(fixture, job, index=0):
--- a/savorydale/tests/scheduler/shared_scores_tests.py
+++ b/savorydale/tests/scheduler/shared_scores_tests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from savorydale.placement.choice import WorkerChooser
-from savorydale.scheduler import planner as planner_module
+from savorydale.scheduler import worker_scores as worker_scores_module
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import SERVICE, PlannerFixture
 
@@ -20,7 +20,7 @@
         scorings.append(args)
         return WorkerChooser(*args)
 
-    monkeypatch.setattr(planner_module, "WorkerChooser", score)
+    monkeypatch.setattr(worker_scores_module, "WorkerChooser", score)
     fixture = PlannerFixture(workers=20)
     fixture.submit("00000000000000a1", SERVICE._replace(task_count=16))
     fixture.submit("00000000000000a2", SERVICE._replace(task_count=16))
@@ -36,8 +36,8 @@
         rng = random.Random(seed)
         fixture = PlannerFixture(workers=8)
         if not shares_scores:
-            planner = fixture.planner
-            monkeypatch.setattr(planner, "_score_workers", planner._score_anew)
+            scores = fixture.planner._scores
+            monkeypatch.setattr(scores, "score", scores.score_anew)
         for number in range(6):
             spec = SERVICE._replace(
                 task_count=rng.randint(4, 12),
