--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -19,9 +20,10 @@
 INITIAL_MIN_BACKFILL_SPEED = 0.6  # accepted at once; the bound then decays
 MIN_SPEED_DECAY_PER_SECOND = 0.15  # while the task waits
 MIN_BACKFILL_SPEED = 0.3  # a slower task hardly progresses
-MAX_IDLE_SECONDS = 2.0  # then a job without a running task starts one at any speed
-BUSY_RATIO = 0.6  # used share, and reserved share, of the fleet's CPU
+ANY_SPEED = -math.inf  # also where the estimate of unused CPU is below zero
+BUSY_RATIO = 0.6  # used share of the fleet's CPU
 FULL_RATIO = 0.8  # reserved share of the fleet's CPU
+HALF = 0.5
 # Terms of a score, in which the whole CPU of a worker, or full speed, counts 1.
 REMOTE_PENALTY = 1.0
 SUSPICION_PENALTY = 2.0
@@ -84,14 +86,10 @@
 
 
 def is_busy(candidates: Sequence[Candidate]) -> bool:
-    """Return whether most of the CPU of the workers is used, and most is reserved.
-
-    Backfill reserves none: however much of it runs, it makes no fleet busy by itself.
-    """
+    """Return whether most of the CPU of the workers is used."""
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
     unused = sum(unused_millicores(candidate.load) for candidate in candidates)
-    is_used = capacity - unused >= BUSY_RATIO * capacity
-    return is_used and _is_reserved(candidates, BUSY_RATIO)
+    return capacity - unused >= BUSY_RATIO * capacity
 
 
 def is_full(candidates: Sequence[Candidate]) -> bool:
@@ -99,6 +97,14 @@
     return _is_reserved(candidates, FULL_RATIO)
 
 
+def is_mostly_unreserved(candidates: Sequence[Candidate]) -> bool:
+    """Return whether less than half of the CPU of the workers is reserved.
+
+    Backfill reserves none, however much of it runs.
+    """
+    return not _is_reserved(candidates, HALF)
+
+
 def _is_reserved(candidates: Sequence[Candidate], ratio: float) -> bool:
     """Return whether at least this share of the workers' CPU is reserved."""
     capacity = sum(candidate.load.capacity.cpu_millicores for candidate in candidates)
@@ -111,13 +117,11 @@
 
     A task runs at full speed until it is throttled, so it interferes with services even
     on a worker that soon throttles it to almost nothing, and it holds its memory there.
-    ``allow_any_speed`` lifts the bound all the same after `MAX_IDLE_SECONDS`, for a job
-    that would otherwise not run at all.
+    ``allow_any_speed`` lets the bound decay to zero all the same, for a job that would
+    otherwise not run at all.
     """
-    if allow_any_speed and waited_seconds > MAX_IDLE_SECONDS:
-        return 0.0
     speed = INITIAL_MIN_BACKFILL_SPEED - MIN_SPEED_DECAY_PER_SECOND * waited_seconds
-    return max(MIN_BACKFILL_SPEED, speed)
+    return max(0.0 if allow_any_speed else MIN_BACKFILL_SPEED, speed)
 
 
 def can_host(spec: StepSpec, candidate: Candidate, placed: int) -> bool:
@@ -251,7 +255,7 @@
     """Return the share of its CPU demand that a backfill task would get."""
     allowed = context.speed_by_worker.get(candidate.worker, 1.0)
     unused_ratio = unused_millicores(candidate.load) / max(1, spec.cpu_millicores)
-    return max(0.0, min(allowed, unused_ratio, 1.0))
+    return min(allowed, unused_ratio, 1.0)
 
 
 def _score(spec: StepSpec, candidate: Candidate, context: PlacementContext) -> float:
--- a/savorydale/scheduler/fleet.py
+++ b/savorydale/scheduler/fleet.py
@@ -6,7 +6,12 @@
 from typing import NamedTuple
 
 from savorydale.jobs.model import StepSpec
-from savorydale.placement.choice import Candidate, is_busy, is_full
+from savorydale.placement.choice import (
+    Candidate,
+    is_busy,
+    is_full,
+    is_mostly_unreserved,
+)
 from savorydale.scheduler.state import SchedulerState
 
 # If this many replicas fit, a service leaves no headroom and may be ranked as overdue.
@@ -85,10 +90,11 @@
 class Fleet(NamedTuple):
     """The workers of a service that may get tasks.
 
-    ``is_busy`` tells whether most of their CPU is used, and not by backfill alone,
-    ``is_full`` whether nearly all of it is reserved. ``free_before`` is what was free
-    when the round began. ``candidates`` may leave out workers that are held for others,
-    or that the policy does not allow; ``all_candidates`` has them all.
+    ``is_busy`` tells whether most of their CPU is used, ``is_full`` whether nearly all
+    of it is reserved, and ``is_mostly_unreserved`` whether less than half of it is.
+    ``free_before`` is what was free when the round began. ``candidates`` may leave out
+    workers that are held for others, or that the policy does not allow;
+    ``all_candidates`` has them all.
     """
 
     service: str
@@ -96,6 +102,7 @@
     all_candidates: list[Candidate]
     is_busy: bool
     is_full: bool
+    is_mostly_unreserved: bool
     free_before: FreeCapacity
 
     def fits(self, spec: StepSpec) -> bool:
@@ -151,6 +158,7 @@
                 candidates,
                 is_busy(candidates),
                 is_full(candidates),
+                is_mostly_unreserved(candidates),
                 FreeCapacity(candidates),
             )
             self._fleet_by_service[service] = fleet
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -13,6 +13,7 @@
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyService, StepName
 from savorydale.placement.choice import (
+    ANY_SPEED,
     MIN_BACKFILL_SPEED,
     Candidate,
     can_host,
@@ -37,6 +38,7 @@
 TURN_RATIO = 0.3
 MIN_TURNS = 5  # of each round: a step of each kind
 MIN_PLACING_SECONDS = 0.025  # of each round, however long the ranking takes
+MAX_IDLE_SECONDS = 2.0  # of a job without a running task
 MILLISECONDS_PER_SECOND = 1000
 
 log = logging.getLogger(__name__)
@@ -372,13 +374,17 @@
         """Return the speed below which the step's backfill waits.
 
         While the fleet is not busy, a job without a running task may eventually start
-        one task at any speed. More tasks would take memory that others could use.
+        one task at any speed, and soon where most of the CPU is unreserved. More tasks
+        would take memory that others could use.
         """
         if not step.spec.backfill:
             return 0.0
         waited_seconds = _seconds_waited(step, tasks, now)
-        allow_any_speed = not fleet.is_busy and not self._has_live_run(step.job, now)
-        return min_backfill_speed(waited_seconds, allow_any_speed)
+        is_idle = not self._has_live_run(step.job, now)
+        is_overdue = is_idle and waited_seconds > MAX_IDLE_SECONDS
+        if is_overdue and fleet.is_mostly_unreserved:
+            return ANY_SPEED
+        return min_backfill_speed(waited_seconds, is_idle and not fleet.is_busy)
 
     def _has_live_run(self, job: JobProgress, now: float) -> bool:
         """Return whether a task of a job is assigned to a worker in contact.
