Record the lapses of silent workers' leases for later holders

Callers saw tasks of services away for 24 to 32 s: their worker ended without a word, and the lease of the scheduler changed hands a few times, also by planned stops.

Cause: a new holder does not know the leases that earlier ones gave. It counted the longest lease from the beginning of its own term, and each further holder did so again.

A holder now stores, with its commits, when the leases lapse on workers that have runs and do not answer. It gives such a worker no lease until its removal from the record is durable, so a holder that was replaced cannot either; a later holder waits for the recorded time only. The time is on the store's clock, at its latest where it is written and where it is read. A worker that answers again gets its next lease a commit later.

Without the withholding test_recorded_worker_gets_no_lease_of_a_holder_that_is_replaced fails.

A worker that is silent when an outage of the store begins, and answers during it, loses its work.

--- a/savorydale/orders/lease_clock.py
+++ b/savorydale/orders/lease_clock.py
@@ -18,6 +18,14 @@
         self._clock_ms: int | None = None
         self._clock_read_at = 0.0
         self._lease_end_ms = 0
+        self._earlier_lapse_at = self._created_at + (
+            lease_max_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
+            + UNKNOWN_CLOCK_MARGIN_SECONDS
+        )
+
+    def limit_earlier_leases(self, lapse_at: float) -> None:
+        """Record that the leases of earlier lease holders lapse by ``lapse_at``."""
+        self._earlier_lapse_at = min(self._earlier_lapse_at, lapse_at)
 
     def record_clock(self, clock_ms: int) -> None:
         """Record the time on the worker's clock, which was just received."""
@@ -27,6 +35,7 @@
     def reset_leases(self) -> None:
         """Forget the leases of an earlier incarnation, which had another clock."""
         self._lease_end_ms = 0
+        self._earlier_lapse_at = self._created_at
 
     def next_lease_end_ms(self) -> int | None:
         """Return the lease end to request, or ``None`` if the clock is unknown.
@@ -45,11 +54,8 @@
 
     def latest_lapse_at(self) -> float:
         """Return when every lease requested on this worker has certainly lapsed."""
-        if self._clock_ms is None:
-            longest_seconds = (
-                self._lease_max_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
-            )
-            return self._created_at + longest_seconds + UNKNOWN_CLOCK_MARGIN_SECONDS
+        if self._clock_ms is None or self._lease_end_ms == 0:
+            return max(self._clock_read_at, self._earlier_lapse_at)
         left_ms = max(0, self._lease_end_ms - self._clock_ms)
         left_seconds = left_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
         return self._clock_read_at + left_seconds + LAPSE_MARGIN_SECONDS
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -33,7 +33,11 @@
     WorkerTarget,
 )
 from savorydale.orders.lease_clock import LeaseClock
-from savorydale.orders.lease_extension import DOUBT_PAUSE_SECONDS, LeaseExtension
+from savorydale.orders.lease_extension import (
+    DOUBT_PAUSE_SECONDS,
+    UNSURE_WAIT_MS,
+    LeaseExtension,
+)
 from savorydale.orders.renewal_wait import MIN_WAIT_MS
 from savorydale.orders.runs import UNKNOWN_PERCENT, Run, RunState, WorkerLoad
 from savorydale.orders.withdrawal import choose_withdrawals
@@ -48,6 +52,7 @@
 MAX_RENEW_TIMEOUT_SECONDS = 3.0  # a worker may be slow to answer, but at work
 RENEW_TIMEOUT_RATIO = 2.0  # of the last response time, or after a timeout
 ERROR_RETRY_SECONDS = 1.0  # after an unexpected error, which is logged each time
+RENEWALS_BEFORE_SILENT = 2  # unanswered ones; this process may have been paused
 ACKNOWLEDGE_WAIT_SECONDS = 0.3
 TIMER_MARGIN_SECONDS = 0.01  # timers may fire a little early
 CONTACT_TIMEOUT_SECONDS = 1.5  # after the wait, for a few failed renewals
@@ -93,7 +98,8 @@
     ``last_contact_at`` is on the loop's clock, and so is ``obeyed_at``, when the last
     renewal that was answered was sent. A crash is reported once, until the worker
     answers again. Ended runs up to ``processed_number`` were passed to the listener;
-    those up to ``acknowledged_number`` are durable.
+    those up to ``acknowledged_number`` are durable. ``is_lease_withheld`` is set from
+    outside while the worker must be given no lease.
     """
 
     def __init__(
@@ -118,6 +124,7 @@
         self.is_registered = True
         self.renew_wait_ms = MIN_WAIT_MS
         self.is_closed = False
+        self.is_lease_withheld = False
         self.born_ms: int | None = None
         self._orders = orders
         self._listener = listener
@@ -137,6 +144,7 @@
         self._tasks_in_flight: set[TaskId] = set()  # their starts are not answered yet
         self._crash_candidates: list[Run] = []
         self._failure: BaseException | None = None
+        self._unanswered_renewals = 0
 
     @property
     def worker(self) -> str:
@@ -172,7 +180,23 @@
         )
 
     def is_in_contact(self, now: float) -> bool:
-        """Return whether the worker has responded recently."""
+        """Return whether the worker has responded recently and may get leases."""
+        return self._has_responded(now) and not self.is_lease_withheld
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the worker does not respond, also not to a second renewal."""
+        is_unanswered = self._unanswered_renewals >= RENEWALS_BEFORE_SILENT
+        return is_unanswered and not self._has_responded(now)
+
+    def latest_lapse_at(self) -> float:
+        """Return when every lease of the worker has certainly lapsed."""
+        return self._lease_clock.latest_lapse_at()
+
+    def limit_earlier_leases(self, lapse_at: float) -> None:
+        """Record that leases of earlier lease holders lapse by ``lapse_at``."""
+        self._lease_clock.limit_earlier_leases(lapse_at)
+
+    def _has_responded(self, now: float) -> bool:
         return (
             self.last_contact_at is not None
             and now - self.last_contact_at < self._contact_timeout_seconds
@@ -269,7 +293,7 @@
     def _is_obsolete(self) -> bool:
         """Return whether the worker was removed and can have no runs."""
         now = asyncio.get_running_loop().time()
-        is_removed = not self.is_registered and not self.is_in_contact(now)
+        is_removed = not self.is_registered and not self._has_responded(now)
         return (
             is_removed
             and not self.run_by_task
@@ -293,6 +317,7 @@
         match outcome:
             case Renewed():
                 self._polls_immediately = False
+                self._unanswered_renewals = 0
                 self._adapt_renew_timeout(
                     loop.time() - sent_at - order.wait_ms / MILLISECONDS_PER_SECOND
                 )
@@ -315,6 +340,7 @@
                 self._counters.increment("hold.unanswered")
                 self._adapt_renew_timeout(self._renew_timeout_seconds)
                 log.debug("lease renewal unanswered", extra=self._extra(detail=detail))
+        self._unanswered_renewals += 1
         self._drop_lapsed_runs(loop.time())
         await asyncio.sleep(RENEW_RETRY_SECONDS)
 
@@ -323,6 +349,8 @@
         if self._polls_immediately or self._unresolved_runs():
             return 0
         wait_ms = min(self.renew_wait_ms, self._extension.max_wait_ms())
+        if self.is_lease_withheld:
+            wait_ms = min(wait_ms, UNSURE_WAIT_MS)
         seconds = seconds_to_clearance(self.run_by_task.values(), now)
         if seconds is None:
             return wait_ms
@@ -569,7 +597,7 @@
             self._drop_run(run, "another incarnation is at the worker's address")
 
     def _drop_lapsed_runs(self, now: float) -> None:
-        if self.is_in_contact(now) or now < self._lease_clock.latest_lapse_at():
+        if self._has_responded(now) or now < self._lease_clock.latest_lapse_at():
             return
         for run in list(self.run_by_task.values()):
             self._drop_run(run, "lease lapsed")
--- a/savorydale/scheduler/job_feed.py
+++ b/savorydale/scheduler/job_feed.py
@@ -21,6 +21,9 @@
     def set_aside_job(self, job_id: str, reason: str) -> None:
         """Show a job as failed and schedule it no more."""
 
+    def observe_store_clock(self, store_ms: int) -> None:
+        """Record the time of the store, which has just responded."""
+
 
 class JobFeed:
     """Passes accepted and cancelled jobs from the store to the scheduler."""
@@ -50,4 +53,5 @@
                 )
 
     def record_response(self, store_ms: int) -> None:
-        """Do nothing; no time limit of a job depends on the feed."""
+        """Pass on the time of the store."""
+        self._handler.observe_store_clock(store_ms)
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -20,8 +20,10 @@
 )
 from savorydale.orders.runs import Run
 from savorydale.scheduler.admission import JobAdmission
+from savorydale.scheduler.lapse_record import LAPSES_KEY, LapseRecord
 from savorydale.scheduler.state import SchedulerState
-from savorydale.storage.rows import RowRange, RowStore, StoredRow
+from savorydale.scheduler.store_clock import StoreClock
+from savorydale.storage.rows import RowRange, RowStore, StoredRow, read_row
 
 LOAD_TIMEOUT_SECONDS = 4.0
 ROWS_PER_YIELD = 20
@@ -36,12 +38,15 @@
     ``runs_by_worker`` are the runs that workers may hold. ``cancellations`` are the
     requests to cancel jobs; ``jobs_version`` is the version after which the jobs table
     must be followed. ``store_clock_offset_ms`` is the store's clock minus the loop's.
+    ``lapse_record`` tells when the leases of silent workers lapse.
     """
 
     runs_by_worker: dict[str, list[Run]]
     cancellations: tuple[StoredRow, ...]
     jobs_version: int
     store_clock_offset_ms: float
+    store_clock: StoreClock
+    lapse_record: LapseRecord
 
 
 async def load_state(
@@ -54,11 +59,15 @@
     """
     loop = asyncio.get_running_loop()
     started_at = loop.time()
-    states = await _read(store, STATES_TABLE)
+    (lapses, _), states = await asyncio.gather(
+        read_row(store, LAPSES_KEY, LOAD_TIMEOUT_SECONDS), _read(store, STATES_TABLE)
+    )
     steps = await _read(store, STEPS_TABLE)
     tail_fits = await _read(store, TAILS_TABLE)
+    jobs_sent_at = loop.time()
     jobs = await _read(store, JOBS_TABLE)
     now = loop.time()
+    store_clock = StoreClock(jobs.now_ms, jobs_sent_at, now)
     store_ms = jobs.now_ms
     status_by_job, unreadable_states = _load_states(state, states.rows)
     cancellations = tuple(
@@ -90,7 +99,14 @@
         },
     )
     offset_ms = jobs.now_ms - now * MILLISECONDS_PER_SECOND
-    return LoadedState(runs_by_worker, cancellations, jobs.version, offset_ms)
+    return LoadedState(
+        runs_by_worker,
+        cancellations,
+        jobs.version,
+        offset_ms,
+        store_clock,
+        LapseRecord(lapses, store_clock),
+    )
 
 
 async def _read(store: RowStore, table: str) -> RowRange:
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -35,12 +35,14 @@
 from savorydale.scheduler.admission import JobAdmission
 from savorydale.scheduler.housekeeping import Housekeeping
 from savorydale.scheduler.job_feed import JobFeed
+from savorydale.scheduler.lapse_record import LAPSES_KEY, LapseRecord
 from savorydale.scheduler.load_report import LoadReport
 from savorydale.scheduler.loop_lag import LoopLagMonitor
 from savorydale.scheduler.planner import Planner, PlannerLimits
 from savorydale.scheduler.registration_age import RegistrationAge
 from savorydale.scheduler.run_mover import RunMover
 from savorydale.scheduler.state import SchedulerState
+from savorydale.scheduler.store_clock import StoreClock
 from savorydale.scheduler.takeover import load_state
 from savorydale.storage.follow import follow_table
 from savorydale.storage.rows import RowStore, StoredRow
@@ -117,6 +119,8 @@
         )
         self._wake = asyncio.Event()
         self._store_clock_offset_ms = 0.0
+        self._store_clock: StoreClock | None = None
+        self._lapse_record = LapseRecord()
         self._task_group: asyncio.TaskGroup | None = None
 
     # The term
@@ -139,6 +143,8 @@
                     self._store, self._state, self._admission, self._lease.epoch
                 )
             self._store_clock_offset_ms = loaded.store_clock_offset_ms
+            self._store_clock = loaded.store_clock
+            self._lapse_record = loaded.lapse_record
             self._task_group = group
             for worker, runs in loaded.runs_by_worker.items():
                 self._restore_link(worker, runs)
@@ -267,6 +273,7 @@
             self._first_contact_slots,
             self._lease_extension,
         )
+        self._lapse_record.prepare(link)
         self._state.link_by_worker[info.worker] = link
         self._run_link(link)
         return link
@@ -550,6 +557,7 @@
                 link.acknowledge(link.processed_number, link.born_ms)
             return
         writes = self._state.take_writes()
+        recorded = self._lapse_record.written
         starts = self._planner.take_starts()
         acknowledgements = [
             (link, link.processed_number, link.born_ms)
@@ -560,6 +568,7 @@
         await self._lease.commit(writes)
         self._counters.record_latency("commit", loop.time() - started_at)
         self._counters.increment("commit.rows", len(writes))
+        self._lapse_record.confirm(recorded, self._state.links)
         for link, number, born_ms in acknowledgements:
             link.acknowledge(number, born_ms)
         for start in starts:
@@ -578,8 +587,21 @@
             self._housekeeping.run_due()
             self._load_report.report()
             self._mover.move_runs()
+            self._record_lapses()
             self.wake()
 
+    def _record_lapses(self) -> None:
+        if self._store_clock is None:
+            return
+        row = self._lapse_record.update(self._state.links, self._store_clock)
+        if row is not None:
+            self._state.write(LAPSES_KEY, row)
+
+    def observe_store_clock(self, store_ms: int) -> None:
+        """Record the time of the store, which has just responded."""
+        if self._store_clock is not None:
+            self._store_clock.observe(store_ms)
+
     def _store_now_ms(self) -> float:
         now_ms = asyncio.get_running_loop().time() * MILLISECONDS_PER_SECOND
         return now_ms + self._store_clock_offset_ms
