Tell the silence before a crash by responses, also while a lease is withheld

A worker whose lease is withheld counts as out of contact; its crash would have been taken for one after a silence.

--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -506,7 +506,7 @@
         this lease holder, an earlier one may have counted the crash, and which runs had
         passed their probation is unknown: only isolated runs are suspects then.
         """
-        is_silent = not self.is_in_contact(asyncio.get_running_loop().time())
+        is_silent = not self._has_responded(asyncio.get_running_loop().time())
         self.last_contact_at = None  # no more starts before it answers again
         if self._is_incarnation_gone:
             return
@@ -528,7 +528,7 @@
         One that was silent for longer was lost for another reason, such as a power
         failure: connections to a crashed worker are refused.
         """
-        is_silent = not self.is_in_contact(asyncio.get_running_loop().time())
+        is_silent = not self._has_responded(asyncio.get_running_loop().time())
         if self._is_incarnation_gone or is_silent or not self._is_in_service:
             return
         active_tasks = {active.task for active in renewed.active}
