--- a/savorydale/queueing/order.py
+++ b/savorydale/queueing/order.py
@@ -30,8 +30,6 @@
 # wide step do not all start at once.
 NOT_STARTED_RATIO = 1.6
 SERVICE_OVERDUE_SECONDS = 1.5
-# Replicas of a service that are placed one after the other, as a ratio of all of them.
-REPLICA_GROUP_RATIO = 0.25
 
 
 class KindRank(IntEnum):
@@ -113,16 +111,9 @@
 def rank_replicas(
     step: StepProgress, tasks: Sequence[Task], now: float, has_capacity: bool = True
 ) -> list[tuple[PlacementRank, Task]]:
-    """Return the rank of each waiting replica of a service; see `rank_step`.
-
-    Replicas that follow one another have equal ranks, `REPLICA_GROUP_RATIO` of all in a
-    group, so that the workers need not be scored for each of them alone.
-    """
+    """Return the rank of each waiting replica of a service; see `rank_step`."""
     rank = rank_step(step, now, has_capacity)
-    ranked = []
-    for number, task in enumerate(tasks):
-        placed_ratio = rank.placed_ratio + number / step.spec.task_count
-        group = placed_ratio // REPLICA_GROUP_RATIO
-        group_ratio = max(rank.placed_ratio, group * REPLICA_GROUP_RATIO)
-        ranked.append((rank._replace(placed_ratio=group_ratio), task))
-    return ranked
+    return [
+        (rank._replace(placed_ratio=rank.placed_ratio + n / step.spec.task_count), task)
+        for n, task in enumerate(tasks)
+    ]
