Count crashes beside a few others that nothing explains

A task that crashes its workers was started again and again wherever any worker without suspects crashed at the same moment: the verdict OTHER_CAUSE came before all others and was never counted toward giving the task up.

If fewer others crashed than half of the workers, they may well have crashed by chance, so the crash counts as coincident: it holds nothing up at first, and the task is given up after five such crashes. If half or more crashed, the crash is explained as before, so services are back however often all workers crash together. The counts keep their format in the store.

Two tests of the verdict had 2 of 6 workers crash. They name both verdicts now, by the number of workers.

--- a/savorydale/placement/crash_history.py
+++ b/savorydale/placement/crash_history.py
@@ -5,8 +5,10 @@
 else explains it.
 
 Workers that crash within `COINCIDENCE_SECONDS` may have one cause. It is certain if one
-of them had no suspect, or if all suspects of one of them have been cleared since: then
-none of these crashes counts. Until then they may as well have several culprits, which
+of them had no suspect, or if all suspects of one of them have been cleared since, and
+many of the workers crashed: then none of these crashes counts. If few did, each may as
+well be chance, so a task under which workers crash like that again and again is given
+up as after coincident crashes. Until then they may have several culprits, which
 were started in the same planning round, so the suspects' next starts are spread in time
 (see `start_turns`): those of culprits then crash one at a time.
 """
@@ -37,7 +39,8 @@
     AFTER_SILENCE = "after_silence"  # the worker may have crashed long before
     RECENT_CRASHES = "recent_crashes"  # workers have crashed without suspects lately
     COINCIDENT = "coincident"  # other workers with suspects crashed too
-    OTHER_CAUSE = "other_cause"  # a worker without suspects crashed too
+    OTHER_CAUSE = "other_cause"  # a worker without suspects crashed too, and many more
+    OTHER_CAUSE_OF_FEW = "other_cause_of_few"  # so did one, but only few workers did
     NO_SUSPECT = "no_suspect"
 
 
@@ -75,6 +78,8 @@
                 return NO_EVIDENCE
             case CrashVerdict.OTHER_CAUSE:
                 return CrashEvidence(explained=1)
+            case CrashVerdict.OTHER_CAUSE_OF_FEW:
+                return CrashEvidence(coincident=1)
             case CrashVerdict.COINCIDENT | CrashVerdict.UNJUDGED:
                 return CrashEvidence(coincident=1, coincident_alone=int(self.is_alone))
             case _:
@@ -146,7 +151,8 @@
             return CrashVerdict.NO_SUSPECT
         beside = self.beside(crash)
         if any(not other.suspects for other in beside):
-            return CrashVerdict.OTHER_CAUSE
+            are_few = len(beside) < MAX_FEW_RATIO * crash.worker_count
+            return _other_cause(are_few)
         if beside:
             few = MAX_FEW_RATIO * crash.worker_count
             is_beside_few = crash.is_at_its_own_time and len(beside) + 1 < few
@@ -222,3 +228,7 @@
     def of_task(self, task: TaskId) -> list[Crash]:
         """Return the crashes that count against a task."""
         return [crash for crash in self._crashes if task in crash.run_by_task]
+
+
+def _other_cause(are_few: bool) -> CrashVerdict:
+    return CrashVerdict.OTHER_CAUSE_OF_FEW if are_few else CrashVerdict.OTHER_CAUSE
--- a/savorydale/tests/coincident_crashes_tests.py
+++ b/savorydale/tests/coincident_crashes_tests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -24,6 +25,7 @@
 USUAL_MAX_STARTS = 3
 MAX_STARTS = 5
 DEADLY_SECONDS = 0.01
+LATER_SECONDS = 0.2
 SERVICE = StepSpec(1, 500, 10, long_running=True)
 BATCH = StepSpec(1, 500, 10, estimate_ms=3000)
 
@@ -279,3 +281,49 @@
             assert await branch.status("e0", job) is JobStatus.COMPLETED
         assert branch.checker.running_task_count(SERVICE_JOB) == 20
         assert_few_starts(branch, deadly)
+
+
+@pytest.mark.parametrize("gap_seconds", [0.7, 1.0])
+@on_virtual_time
+async def test_deadly_task_is_given_up_beside_an_idle_worker_that_crashes(gap_seconds):
+    def plan(task, run):
+        return Plan(LATER_SECONDS, CRASH)
+
+    async with open_branch(plan, workers=20) as branch:
+
+        async def crash_idle_workers():
+            for number in itertools.count():
+                await asyncio.sleep(gap_seconds)
+                idle = [
+                    name
+                    for name, worker in sorted(branch.worker_by_name.items())
+                    if worker.is_up and not worker.run_by_task
+                ]
+                name = idle[number % len(idle)]
+                branch.spawn(crash_together(branch, [name]))
+
+        branch.spawn(crash_idle_workers())
+        await asyncio.sleep(2)
+        await branch.submit("e0", BATCH_JOB, BATCH)
+        await branch.wait_for_status("e0", BATCH_JOB, JobStatus.FAILED, 60)
+        assert_few_starts(branch, [BATCH_JOB])
+
+
+@pytest.mark.parametrize(
+    ("late_count", "late_seconds"), [(10, 1.2), (10, 2.5), (15, 1.2), (15, 1.5)]
+)
+@on_virtual_time
+async def test_deadly_task_is_given_up_beside_tasks_that_crash_workers_late(
+    late_count, late_seconds
+):
+    def plan(task, run):
+        seconds = LATER_SECONDS if task.startswith(BATCH_JOB) else late_seconds
+        return Plan(seconds, CRASH)
+
+    async with open_branch(plan, workers=40, asserts_no_violations=False) as branch:
+        for number in range(late_count):
+            await branch.submit("e0", f"{number:016x}", BATCH)
+            await asyncio.sleep(0.3)
+        await branch.submit("e0", BATCH_JOB, BATCH)
+        await branch.wait_for_status("e0", BATCH_JOB, JobStatus.FAILED, 60)
+        assert_few_starts(branch, [BATCH_JOB])
--- a/savorydale/tests/placement/crash_history_tests.py
+++ b/savorydale/tests/placement/crash_history_tests.py
@@ -79,10 +79,18 @@
     assert make_history(crash).judge(crash) is verdict
 
 
-def test_crash_beside_one_without_suspects_has_another_cause():
-    crash, other = make_crash("w0", 10.0, 1), make_crash("w1", 10.1)
-    history = make_history(crash, other)
-    assert history.judge(crash) is CrashVerdict.OTHER_CAUSE
+@pytest.mark.parametrize(
+    ("worker_count", "verdict"),
+    [
+        (2, CrashVerdict.OTHER_CAUSE),
+        (3, CrashVerdict.OTHER_CAUSE_OF_FEW),
+        (6, CrashVerdict.OTHER_CAUSE_OF_FEW),
+    ],
+)
+def test_crash_beside_one_without_suspects_has_another_cause(worker_count, verdict):
+    crash = make_crash("w0", 10.0, 1, worker_count=worker_count)
+    history = make_history(crash, make_crash("w1", 10.1))
+    assert history.judge(crash) is verdict
 
 
 def test_crashes_with_suspects_at_the_same_moment_are_ambiguous():
@@ -124,13 +132,20 @@
     assert make_history(other, crash).judge(crash) is verdict
 
 
-def test_coincident_crashes_have_another_cause_once_all_suspects_of_one_are_cleared():
-    first, second = make_crash("w0", 10.0, 1, 2), make_crash("w1", 10.0, 3)
+@pytest.mark.parametrize(
+    ("worker_count", "verdict"),
+    [(2, CrashVerdict.OTHER_CAUSE), (6, CrashVerdict.OTHER_CAUSE_OF_FEW)],
+)
+def test_coincident_crashes_have_another_cause_once_all_suspects_of_one_are_cleared(
+    worker_count, verdict
+):
+    first = make_crash("w0", 10.0, 1, 2, worker_count=worker_count)
+    second = make_crash("w1", 10.0, 3, worker_count=worker_count)
     history = make_history(first, second)
     judge_all(history, first, second)
     assert history.clear(make_task(1)) == []
     assert history.clear(make_task(2)) == [second]
-    assert history.judge(second) is CrashVerdict.OTHER_CAUSE
+    assert history.judge(second) is verdict
     assert history.of_task(make_task(1)) == []
 
 
@@ -186,6 +201,7 @@
         (CrashVerdict.RECENT_CRASHES, CrashEvidence(suspected=1)),
         (CrashVerdict.BESIDE_FEW, CrashEvidence(suspected=1)),
         (CrashVerdict.OTHER_CAUSE, CrashEvidence(explained=1)),
+        (CrashVerdict.OTHER_CAUSE_OF_FEW, CrashEvidence(coincident=1)),
         (CrashVerdict.NO_SUSPECT, CrashEvidence()),
     ],
 )
