Let gangs with suspects start without a turn

A gang of which members were suspects of several crashes waited about 4 s beside free workers: its members took turns with one another, the planner left those out that were held, and skipped the rest as a gang whose members have not ended. Only the bound on a turn let it start.

The members of a gang start together in any case, so they take no turns; all of them wait while one is a suspect of a crash that is not judged yet. Gangs on 6 workers (6 and 12 members) and 2 workers (12), all of which crash together three times, were not back 1.5 s after their workers on (three of the four new cases failed), and are now. Gangs with members that crash their workers and start together are given up after at most five starts, as before.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.jobs.model import Configuration, QueueSettings
+from savorydale.jobs.model import Configuration, QueueSettings, TaskId
 from savorydale.jobs.progress import JobProgress, StepProgress, Task
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
@@ -258,16 +258,29 @@
     def _leave_out_held_suspects(
         self, waiting: list[tuple[StepProgress, list[Task]]], now: float
     ) -> list[tuple[StepProgress, list[Task]]]:
-        """Return the waiting tasks without suspects that must start at another time."""
+        """Return the waiting tasks without suspects that must start at another time.
+
+        The members of a gang start together, so they take no turns. All of them wait
+        while a crash is not judged yet of which one of them is a suspect.
+        """
         history = self._state.crash_history
+        unjudged = history.unjudged_tasks()
+        gangs = _gangs(waiting) if self._state.job_tracker.suspect_by_id else []
+        members: set[TaskId] = set().union(*gangs)
         self._start_turns.begin_round(
-            self._state.job_tracker.suspect_by_id,
-            history.unjudged_tasks(),
+            {
+                name: task
+                for name, task in self._state.job_tracker.suspect_by_id.items()
+                if name not in members
+            },
+            unjudged,
             history.coincident_groups(),
             len(self._state.link_by_worker),
             now,
         )
-        held = self._start_turns.held
+        held = self._start_turns.held.union(
+            *(gang for gang in gangs if not unjudged.isdisjoint(gang))
+        )
         if not held:
             return waiting
         for step, tasks in waiting:
@@ -569,6 +582,11 @@
         )
 
 
+def _gangs(waiting: list[tuple[StepProgress, list[Task]]]) -> list[set[TaskId]]:
+    """Return the waiting members of each gang."""
+    return [{task.id for task in tasks} for step, tasks in waiting if step.spec.gang]
+
+
 def _name_of(step: StepProgress) -> StepName:
     return StepName(step.job.id, step.occurrence, step.number)
 
--- a/savorydale/tests/coincident_crashes_tests.py
+++ b/savorydale/tests/coincident_crashes_tests.py
@@ -21,6 +21,7 @@
 DOWN_SECONDS = 2.0
 AFTER_START_SECONDS = 0.6  # all tasks are still on probation
 MAX_TAKEOVER_SECONDS = 4.0  # until another entry schedules, beside the bound
+MAX_GANG_SECONDS = 1.5  # after the workers are back, with the time of the verdict
 WORKERS = 6
 USUAL_MAX_STARTS = 3
 MAX_STARTS = 5
@@ -87,6 +88,40 @@
         await crash_again_and_again(branch, count, times)
 
 
+@pytest.mark.parametrize(("count", "workers"), [(6, 6), (12, 6), (12, 2), (6, 1)])
+@on_virtual_time
+async def test_gang_with_suspects_is_back_at_once_beside_free_workers(count, workers):
+    gang = SERVICE._replace(task_count=count, gang=True)
+    async with open_branch(endless, workers=workers) as branch:
+        await branch.submit("e0", SERVICE_JOB, gang)
+        await wait_until_all_run(branch, SERVICE_JOB, count)
+        for _ in range(3):
+            await asyncio.sleep(AFTER_START_SECONDS)
+            branch.spawn(crash_together(branch, list(branch.worker_by_name)))
+            await asyncio.sleep(0.01)
+            await wait_until_all_run(
+                branch, SERVICE_JOB, count, DOWN_SECONDS + MAX_GANG_SECONDS
+            )
+
+
+@pytest.mark.parametrize("job_count", [2, 3])
+@on_virtual_time
+async def test_gangs_with_deadly_members_that_start_together_are_given_up(job_count):
+    jobs = [f"{number:016x}" for number in range(0xD0, 0xD0 + job_count)]
+
+    def plan(task, run):
+        # The other members end when they miss one of them.
+        is_deadly = task.endswith(".0")
+        return Plan(DEADLY_SECONDS, CRASH) if is_deadly else Plan(0.3, "broken")
+
+    async with open_branch(plan, workers=WORKERS) as branch:
+        gang = BATCH._replace(task_count=3, gang=True)
+        await asyncio.gather(*(branch.submit("e0", job, gang) for job in jobs))
+        for job in jobs:
+            await branch.wait_for_status("e0", job, JobStatus.FAILED, 60)
+        assert_few_starts(branch, jobs)
+
+
 @pytest.mark.parametrize("times", [2, 4])
 @pytest.mark.parametrize("worker_count", [2, 3], ids=["rack", "half"])
 @pytest.mark.parametrize("count", [1, 4, 6, 12])
