--- a/savorydale/placement/crash_history.py
+++ b/savorydale/placement/crash_history.py
@@ -44,6 +44,9 @@
     NO_SUSPECT = "no_suspect"
 
 
+_EXPLAINED = frozenset((CrashVerdict.OTHER_CAUSE, CrashVerdict.OTHER_CAUSE_OF_FEW))
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Crash:
     """A crash of one worker; ``noticed_at`` is on the loop's clock.
@@ -70,6 +73,11 @@
         """Return whether the crash is attributed to its only suspect."""
         return self.verdict is CrashVerdict.ONLY_SUSPECT
 
+    @property
+    def is_explained(self) -> bool:
+        """Return whether it had another cause, whatever else is cleared later."""
+        return self.verdict in _EXPLAINED
+
     @property
     def evidence(self) -> CrashEvidence:
         """Return how the crash counts against each of its suspects."""
@@ -193,9 +201,17 @@
             crash.suspects.discard(task)
             crash.run_by_task.pop(task, None)
             if not crash.suspects:
-                affected += self.judged_beside(crash)
+                affected += self._judged_open_beside(crash)
         return affected
 
+    def _judged_open_beside(self, crash: Crash) -> list[Crash]:
+        """Return the judged crashes beside one that its clearance may explain."""
+        return [
+            other
+            for other in self.judged_beside(crash)
+            if other.run_by_task and not other.is_explained
+        ]
+
     def judged_beside(self, crash: Crash) -> list[Crash]:
         """Return the crashes at the same moment as another that are judged already."""
         return [
--- a/savorydale/tests/placement/crash_history_tests.py
+++ b/savorydale/tests/placement/crash_history_tests.py
@@ -207,3 +207,36 @@
 )
 def test_evidence_of_each_verdict(verdict, evidence):
     assert make_crash("w0", 10.0, 1, verdict=verdict).evidence == evidence
+
+
+def clear_all(history, crashes):
+    """Clear the suspects one by one, as the handler does; return the judged crashes."""
+    judged = 0
+    for index in range(len(crashes)):
+        affected = history.clear(make_task(index))
+        judge_all(history, *affected)
+        judged += len(affected)
+    return judged
+
+
+@pytest.mark.parametrize("worker_count", [250, 1000], ids=["all", "some"])
+def test_crashes_that_another_cause_explains_are_not_judged_again_and_again(
+    worker_count,
+):
+    crashes = [
+        make_crash(f"w{index}", 10.0, index, worker_count=worker_count)
+        for index in range(250)
+    ]
+    history = make_history(*crashes)
+    judge_all(history, *crashes)
+    assert clear_all(history, crashes) == len(crashes) - 1
+
+
+def test_explained_crash_stays_so_when_the_one_that_explains_it_is_forgotten():
+    explaining = make_crash("w0", 10.0)
+    explained, cleared = make_crash("w1", 10.4, 1), make_crash("w2", 10.4, 2)
+    history = make_history(explaining, explained, cleared)
+    judge_all(history, explaining, explained, cleared)
+    assert explained.verdict is CrashVerdict.OTHER_CAUSE_OF_FEW
+    history.add(make_crash("w3", 10.2 + HISTORY_SECONDS))
+    assert history.clear(make_task(2)) == []
