Show that suspects on few workers wait long for isolation

When both workers of a service of 24 tasks crash together three times, the tasks are back 24.6 s after the third crash (12 tasks: 12.4 s; 12 on one worker: 13.4 s after the second), above the bound of 9 s: a suspect starts only where no other run is on probation, at most half of the workers are held for that, and nothing bounds the wait.

A bound on the wait as for turns was not tried: beside a task that crashes its workers, all suspects that have waited would start together each time, so all of them might be given up with it.

--- a/savorydale/tests/coincident_crashes_tests.py
+++ b/savorydale/tests/coincident_crashes_tests.py
@@ -218,6 +218,17 @@
         await crash_again_and_again(branch, 1, times, worker_count=1)
 
 
+@pytest.mark.parametrize(("count", "workers"), [(6, 1), (12, 1), (12, 2), (24, 2)])
+@on_virtual_time
+async def test_service_on_few_workers_is_back_when_all_crashed_three_times(
+    count, workers
+):
+    async with open_branch(endless, workers=workers) as branch:
+        await branch.submit("e0", SERVICE_JOB, SERVICE._replace(task_count=count))
+        await wait_until_all_run(branch, SERVICE_JOB, count)
+        await crash_again_and_again(branch, count, 3, workers)
+
+
 # The other side: tasks that do crash their workers.
 
 
