--- a/savorydale/tests/coincident_crashes_tests.py
+++ b/savorydale/tests/coincident_crashes_tests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -20,10 +21,12 @@
 DOWN_SECONDS = 2.0
 AFTER_START_SECONDS = 0.6  # all tasks are still on probation
 MAX_TAKEOVER_SECONDS = 4.0  # until another entry schedules, beside the bound
+MAX_GANG_SECONDS = 1.5  # after the workers are back, with the time of the verdict
 WORKERS = 6
 USUAL_MAX_STARTS = 3
 MAX_STARTS = 5
 DEADLY_SECONDS = 0.01
+LATER_SECONDS = 0.2
 SERVICE = StepSpec(1, 500, 10, long_running=True)
 BATCH = StepSpec(1, 500, 10, estimate_ms=3000)
 
@@ -85,6 +88,40 @@
         await crash_again_and_again(branch, count, times)
 
 
+@pytest.mark.parametrize(("count", "workers"), [(6, 6), (12, 6), (12, 2), (6, 1)])
+@on_virtual_time
+async def test_gang_with_suspects_is_back_at_once_beside_free_workers(count, workers):
+    gang = SERVICE._replace(task_count=count, gang=True)
+    async with open_branch(endless, workers=workers) as branch:
+        await branch.submit("e0", SERVICE_JOB, gang)
+        await wait_until_all_run(branch, SERVICE_JOB, count)
+        for _ in range(3):
+            await asyncio.sleep(AFTER_START_SECONDS)
+            branch.spawn(crash_together(branch, list(branch.worker_by_name)))
+            await asyncio.sleep(0.01)
+            await wait_until_all_run(
+                branch, SERVICE_JOB, count, DOWN_SECONDS + MAX_GANG_SECONDS
+            )
+
+
+@pytest.mark.parametrize("job_count", [2, 3])
+@on_virtual_time
+async def test_gangs_with_deadly_members_that_start_together_are_given_up(job_count):
+    jobs = [f"{number:016x}" for number in range(0xD0, 0xD0 + job_count)]
+
+    def plan(task, run):
+        # The other members end when they miss one of them.
+        is_deadly = task.endswith(".0")
+        return Plan(DEADLY_SECONDS, CRASH) if is_deadly else Plan(0.3, "broken")
+
+    async with open_branch(plan, workers=WORKERS) as branch:
+        gang = BATCH._replace(task_count=3, gang=True)
+        await asyncio.gather(*(branch.submit("e0", job, gang) for job in jobs))
+        for job in jobs:
+            await branch.wait_for_status("e0", job, JobStatus.FAILED, 60)
+        assert_few_starts(branch, jobs)
+
+
 @pytest.mark.parametrize("times", [2, 4])
 @pytest.mark.parametrize("worker_count", [2, 3], ids=["rack", "half"])
 @pytest.mark.parametrize("count", [1, 4, 6, 12])
@@ -181,6 +218,17 @@
         await crash_again_and_again(branch, 1, times, worker_count=1)
 
 
+@pytest.mark.parametrize(("count", "workers"), [(6, 1), (12, 1), (12, 2), (24, 2)])
+@on_virtual_time
+async def test_service_on_few_workers_is_back_when_all_crashed_three_times(
+    count, workers
+):
+    async with open_branch(endless, workers=workers) as branch:
+        await branch.submit("e0", SERVICE_JOB, SERVICE._replace(task_count=count))
+        await wait_until_all_run(branch, SERVICE_JOB, count)
+        await crash_again_and_again(branch, count, 3, workers)
+
+
 # The other side: tasks that do crash their workers.
 
 
@@ -279,3 +327,49 @@
             assert await branch.status("e0", job) is JobStatus.COMPLETED
         assert branch.checker.running_task_count(SERVICE_JOB) == 20
         assert_few_starts(branch, deadly)
+
+
+@pytest.mark.parametrize("gap_seconds", [0.7, 1.0])
+@on_virtual_time
+async def test_deadly_task_is_given_up_beside_an_idle_worker_that_crashes(gap_seconds):
+    def plan(task, run):
+        return Plan(LATER_SECONDS, CRASH)
+
+    async with open_branch(plan, workers=20) as branch:
+
+        async def crash_idle_workers():
+            for number in itertools.count():
+                await asyncio.sleep(gap_seconds)
+                idle = [
+                    name
+                    for name, worker in sorted(branch.worker_by_name.items())
+                    if worker.is_up and not worker.run_by_task
+                ]
+                name = idle[number % len(idle)]
+                branch.spawn(crash_together(branch, [name]))
+
+        branch.spawn(crash_idle_workers())
+        await asyncio.sleep(2)
+        await branch.submit("e0", BATCH_JOB, BATCH)
+        await branch.wait_for_status("e0", BATCH_JOB, JobStatus.FAILED, 60)
+        assert_few_starts(branch, [BATCH_JOB])
+
+
+@pytest.mark.parametrize(
+    ("late_count", "late_seconds"), [(10, 1.2), (10, 2.5), (15, 1.2), (15, 1.5)]
+)
+@on_virtual_time
+async def test_deadly_task_is_given_up_beside_tasks_that_crash_workers_late(
+    late_count, late_seconds
+):
+    def plan(task, run):
+        seconds = LATER_SECONDS if task.startswith(BATCH_JOB) else late_seconds
+        return Plan(seconds, CRASH)
+
+    async with open_branch(plan, workers=40, asserts_no_violations=False) as branch:
+        for number in range(late_count):
+            await branch.submit("e0", f"{number:016x}", BATCH)
+            await asyncio.sleep(0.3)
+        await branch.submit("e0", BATCH_JOB, BATCH)
+        await branch.wait_for_status("e0", BATCH_JOB, JobStatus.FAILED, 60)
+        assert_few_starts(branch, [BATCH_JOB])
