Deny no worker because of a policy answer with an odd row

What callers would see: after one odd row in an answer of the policy service, a step never starts. `{"allowed": [5, ["w2"], null], "validMs": 900}` once denied w1, w2 and w3 for good, although all later answers would have allowed them.

Denials do not expire.

Change: an answer with a skipped row is incomplete. Its tickets are used, and the other workers are queried again, after those about which nothing was asked, so that rows which stay odd do not hold up the rest of the fleet. Until then the step keeps one of the query slots as often as any other step that lacks an answer.

`is_complete` is left out of the comparison of answers, so that test_odd_row_of_an_answer_does_not_hide_the_other_tickets stays as it was; the new tests check its effect.

Evidence: test_one_odd_row_of_an_answer_does_not_deny_its_workers_for_good (3 cases) failed before, with no start within 3 s, and passes now. The test of the cache (..._are_queried_after_the_others) needs the new field, so it fails before with a TypeError.

--- a/savorydale/placement/advice.py
+++ b/savorydale/placement/advice.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -32,11 +33,17 @@
     used_until: float
 
 
-class PolicyAnswer(NamedTuple):
-    """Tickets by allowed worker, and the seconds for which they are valid."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyAnswer:
+    """Tickets by allowed worker, and the seconds for which they are valid.
+
+    A worker that a complete answer does not name is denied. If a part of the answer
+    could not be read, nothing is known about such a worker.
+    """
 
     ticket_by_worker: dict[str, str]
     valid_seconds: float
+    is_complete: bool = dataclasses.field(default=True, compare=False)
 
 
 class PolicyService(Protocol):
@@ -48,10 +55,14 @@
 
 @dataclasses.dataclass(slots=True)
 class StepAdvice:
-    """Cached answers for one step; a denial does not expire."""
+    """Cached answers for one step; a denial does not expire.
+
+    ``unread_at`` is when the last incomplete answer left a worker undecided.
+    """
 
     ticket_by_worker: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     denied: set[str] = dataclasses.field(default_factory=set)
+    unread_at: dict[str, float] = dataclasses.field(default_factory=dict)
     is_query_pending: bool = False
 
 
@@ -97,6 +108,8 @@
         ]
         if not unresolved:
             return None
+        # Workers that an incomplete answer left undecided do not hold up the others.
+        unresolved.sort(key=lambda worker: advice.unread_at.get(worker, -math.inf))
         advice.is_query_pending = True
         return unresolved[:MAX_WORKERS_PER_QUERY]
 
@@ -116,10 +129,12 @@
         used_until = now + answer.valid_seconds - margin
         for worker in queried:
             text = answer.ticket_by_worker.get(worker)
-            if text is None:
+            if text is not None:
+                advice.ticket_by_worker[worker] = Ticket(text, used_until)
+            elif answer.is_complete:
                 advice.denied.add(worker)
             else:
-                advice.ticket_by_worker[worker] = Ticket(text, used_until)
+                advice.unread_at[worker] = now
 
     def drop_ticket(self, step: StepName, worker: str) -> None:
         """Discard a ticket that a worker has refused."""
--- a/savorydale/platform/advice.py
+++ b/savorydale/platform/advice.py
@@ -38,13 +38,15 @@
 
 
 def _parse_answer(body: JsonObject) -> PolicyAnswer:
-    """Return the answer; a worker whose row cannot be read is not allowed."""
+    """Return the answer, which is incomplete if one of its rows cannot be read."""
     tickets = {}
+    is_complete = True
     for row in to_list(body["allowed"]):
         try:
             worker, ticket = to_list(row)
             tickets[to_text(worker)] = to_text(ticket)
         except (ValueError, RowFormatError) as error:
+            is_complete = False
             log.info("allowed worker is skipped", extra={"reason": str(error)})
     valid_ms = to_float_within(body["validMs"], 0, MAX_VALID_MS)
-    return PolicyAnswer(tickets, valid_ms / MILLISECONDS_PER_SECOND)
+    return PolicyAnswer(tickets, valid_ms / MILLISECONDS_PER_SECOND, is_complete)
--- a/savorydale/tests/placement/advice_tests.py
+++ b/savorydale/tests/placement/advice_tests.py
@@ -1,6 +1,11 @@
 """Tests of the cache of policy answers: single queries, expiry and denials."""
 
-from savorydale.placement.advice import AdviceCache, PolicyAnswer, StepName
+from savorydale.placement.advice import (
+    MAX_WORKERS_PER_QUERY,
+    AdviceCache,
+    PolicyAnswer,
+    StepName,
+)
 
 STEP = StepName("0123456789abcdef", 0, 1)
 ANSWER = PolicyAnswer({"w1": "t1"}, 3.0)
@@ -45,3 +50,15 @@
     cache.record_answer(STEP, ["w1"], ANSWER, 0.0)
     cache.remove_job(STEP.job)
     assert cache.ticket(STEP, "w1", 0.0) == ""
+
+
+def test_workers_that_an_incomplete_answer_omits_are_queried_after_the_others():
+    cache = AdviceCache()
+    workers = [f"w{number}" for number in range(MAX_WORKERS_PER_QUERY + 2)]
+    queried = cache.next_query(STEP, workers, 0.0)
+    incomplete = PolicyAnswer({"w1": "t1"}, 3.0, is_complete=False)
+    cache.record_answer(STEP, queried, incomplete, 0.1)
+    assert not any(cache.is_denied(STEP, worker) for worker in workers)
+    assert cache.ticket(STEP, "w1", 0.1) == "t1"
+    later = cache.next_query(STEP, workers, 0.1)
+    assert later == [*workers[-2:], "w0", *workers[2:-3]]
--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
+import pytest
+
 from savorydale.jobs.model import JobSpec, StepSpec
 from savorydale.jobs.rows import JobRow, JobStatus
 from savorydale.placement.advice import PolicyAnswer
+from savorydale.platform.advice import PlatformPolicyService
+from savorydale.platform.http import HttpReply
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import QUEUE, PlannerFixture
 
@@ -48,6 +52,27 @@
     assert await fixture.plan(seconds=3)
 
 
+class OddRowHttp:
+    """Answers the first request with odd rows, and allows all workers after that."""
+
+    def __init__(self, odd_rows):
+        self.odd_rows = odd_rows
+
+    async def send(self, method, url, timeout_seconds, body):
+        rows = self.odd_rows or [[worker, "t"] for worker in body["workers"]]
+        self.odd_rows = None
+        return HttpReply(200, {"allowed": rows, "validMs": 900})
+
+
+@pytest.mark.parametrize("odd_rows", [[5, ["w2"], None], [["w1", "t", "t"]], [[]]])
+@on_virtual_time
+async def test_one_odd_row_of_an_answer_does_not_deny_its_workers_for_good(odd_rows):
+    policy = PlatformPolicyService(OddRowHttp(odd_rows), "10.0.0.8:80")
+    fixture = AdviceFixture(3, policy)
+    fixture.submit("00000000000000a1", STEP)
+    assert await fixture.plan(seconds=3)
+
+
 @on_virtual_time
 async def test_tickets_that_are_valid_only_shortly_are_used():
     fixture = AdviceFixture(3, PolicyFake(valid_seconds=0.4))
