Give freed policy queries to the step that queried least recently

What callers would see: a service on a queue with a policy never starts although workers are free, as long as four gangs of a higher rank lack one worker each. Their tickets expire, so they query again and again (100 workers, answers after 0.3 s, valid for 0.9 s).

Cause: a query needs one of four slots, and each round offered the free ones in the order of rank. Whoever ranks high and queries all the time used them all up.

Change: a step that finds no slot leaves a request. When an answer arrives, its slot goes at once to the request of the step that had its last query the longest time ago. So it does not matter either at which time a cut round considers the step. The request is part of the step's advice, which is discarded with its job, and lapses after 5 s. The pending steps are a set now instead of being counted among all steps at each call.

Evidence: test_steps_that_query_all_the_time_do_not_use_up_the_queries (100 workers; 4, 8 and 20 gangs) had no start within 2 s before and passes now.

Not changed: hundreds of steps that query all the time still share the four slots, so a step that needs several queries waits for several turns.

--- a/savorydale/placement/advice.py
+++ b/savorydale/placement/advice.py
@@ -13,6 +13,8 @@
 MAX_MARGIN_SECONDS = 0.5  # the start order must reach the worker before expiry
 MAX_MARGIN_RATIO = 0.5  # of the validity, or tickets that expire soon were never used
 MAX_PENDING_QUERIES = 4
+# A step that waits longer for a slot was not considered again, or has started.
+REQUEST_SECONDS = 5.0
 
 
 class StepName(NamedTuple):
@@ -53,17 +55,26 @@
         """Return the workers that are allowed, or ``None`` if the query failed."""
 
 
+class QueryRequest(NamedTuple):
+    """A query that found all slots taken; ``at`` is a time on the loop's clock."""
+
+    workers: list[str]
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class StepAdvice:
     """Cached answers for one step; a denial does not expire.
 
-    ``unread_at`` is when the last incomplete answer left a worker undecided.
+    ``unread_at`` is when the last incomplete answer left a worker undecided, and
+    ``queried_at`` when the step had its last query.
     """
 
     ticket_by_worker: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     denied: set[str] = dataclasses.field(default_factory=set)
     unread_at: dict[str, float] = dataclasses.field(default_factory=dict)
-    is_query_pending: bool = False
+    queried_at: float = -math.inf
+    request: QueryRequest | None = None
 
 
 class AdviceCache:
@@ -71,11 +82,7 @@
 
     def __init__(self) -> None:
         self._advice_by_step: dict[StepName, StepAdvice] = {}
-
-    @property
-    def pending_queries(self) -> int:
-        """Return how many queries have no answer yet."""
-        return sum(advice.is_query_pending for advice in self._advice_by_step.values())
+        self._pending_steps: set[StepName] = set()  # their queries have no answer yet
 
     def ticket(self, step: StepName, worker: str, now: float) -> str:
         """Return a valid ticket, or an empty string."""
@@ -96,11 +103,46 @@
         """Return the workers to query now, and mark the query as pending.
 
         ``workers`` are in order of preference. Returns ``None`` if no query is needed,
-        or if the step or too many others have a query pending.
+        or if the step or too many others have a query pending. In the latter case the
+        query is remembered for `take_requested_query`.
         """
         advice = self._advice_by_step.setdefault(step, StepAdvice())
-        if advice.is_query_pending or self.pending_queries >= MAX_PENDING_QUERIES:
+        if step in self._pending_steps:
             return None
+        if not self._has_free_slot:
+            _request_query(advice, list(workers), now)
+            return None
+        return self._begin_query(step, advice, workers, now)
+
+    def take_requested_query(self, now: float) -> tuple[StepName, list[str]] | None:
+        """Return a query that found no slot, if there is one now; it is then pending.
+
+        The step that had its last query the longest time ago comes first, whatever its
+        rank, so that steps which query all the time do not use up the slots.
+        """
+        if not self._has_free_slot:
+            return None
+        requests = [
+            (step, advice, advice.request)
+            for step, advice in self._advice_by_step.items()
+            if advice.request and now - advice.request.at <= REQUEST_SECONDS
+        ]
+        requests.sort(key=lambda item: item[1].queried_at)
+        for step, advice, request in requests:
+            advice.request = None
+            queried = self._begin_query(step, advice, request.workers, now)
+            if queried is not None:
+                return step, queried
+        return None
+
+    @property
+    def _has_free_slot(self) -> bool:
+        return len(self._pending_steps) < MAX_PENDING_QUERIES
+
+    def _begin_query(
+        self, step: StepName, advice: StepAdvice, workers: Iterable[str], now: float
+    ) -> list[str] | None:
+        """Return the first unresolved workers, and mark their query as pending."""
         unresolved = [
             worker
             for worker in workers
@@ -110,7 +152,9 @@
             return None
         # Workers that an incomplete answer left undecided do not hold up the others.
         unresolved.sort(key=lambda worker: advice.unread_at.get(worker, -math.inf))
-        advice.is_query_pending = True
+        self._pending_steps.add(step)
+        advice.queried_at = now
+        advice.request = None
         return unresolved[:MAX_WORKERS_PER_QUERY]
 
     def record_answer(
@@ -122,7 +166,7 @@
     ) -> None:
         """Store an answer; after ``None``, the step may be queried again."""
         advice = self._advice_by_step.setdefault(step, StepAdvice())
-        advice.is_query_pending = False
+        self._pending_steps.discard(step)
         if answer is None:
             return
         margin = min(MAX_MARGIN_SECONDS, MAX_MARGIN_RATIO * answer.valid_seconds)
@@ -146,3 +190,11 @@
         """Discard the answers for all steps of a job."""
         for step in [name for name in self._advice_by_step if name.job == job]:
             del self._advice_by_step[step]
+            self._pending_steps.discard(step)
+
+
+def _request_query(advice: StepAdvice, workers: list[str], now: float) -> None:
+    """Remember a query; the first one of a round, which names the best workers."""
+    is_first = advice.request is None or advice.request.at < now
+    if workers and is_first:
+        advice.request = QueryRequest(workers, now)
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -453,15 +453,18 @@
         workers = [candidate.worker for candidate in hosts]
         workers_to_query = self._state.advice.next_query(name, workers, now)
         if workers_to_query is not None:
-            query = asyncio.create_task(self._query_policy(name, workers_to_query))
-            self._policy_queries.add(query)
-            query.add_done_callback(self._policy_queries.discard)
+            self._start_query(name, workers_to_query)
         return [
             candidate
             for candidate in candidates
             if self._state.advice.ticket(name, candidate.worker, now)
         ]
 
+    def _start_query(self, step: StepName, workers: list[str]) -> None:
+        query = asyncio.create_task(self._query_policy(step, workers))
+        self._policy_queries.add(query)
+        query.add_done_callback(self._policy_queries.discard)
+
     async def _query_policy(self, step: StepName, workers: list[str]) -> None:
         assert self._policy is not None
         try:
@@ -470,7 +473,10 @@
             log.exception("policy query failed", extra={"step": str(step)})
             answer = None
         now = asyncio.get_running_loop().time()
-        self._state.advice.record_answer(step, workers, answer, now)
+        advice = self._state.advice
+        advice.record_answer(step, workers, answer, now)
+        while requested := advice.take_requested_query(now):
+            self._start_query(*requested)
 
     def _observe_batch_demand(
         self, waiting: list[tuple[StepProgress, list[Task]]], now: float
--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -1,6 +1,7 @@
 """Tasks whose workers the policy service must allow do not wait for ever."""
 
 import asyncio
+import collections
 
 import pytest
 
@@ -10,7 +11,7 @@
 from savorydale.platform.advice import PlatformPolicyService
 from savorydale.platform.http import HttpReply
 from savorydale.tests.harness import on_virtual_time
-from savorydale.tests.scheduler.planner_fixture import QUEUE, PlannerFixture
+from savorydale.tests.scheduler.planner_fixture import QUEUE, SERVICE, PlannerFixture
 
 ANSWER_SECONDS = 0.3
 STEP = StepSpec(1, 2000, 1000, estimate_ms=500)
@@ -88,3 +89,30 @@
         fixture.submit(f"{number:016x}", blocked, priority=0)
     fixture.submit("00000000000000a1", STEP)
     assert await fixture.plan(seconds=5)
+
+
+class CountingPolicy(PolicyFake):
+    """Also counts the queries of each job."""
+
+    def __init__(self, valid_seconds):
+        super().__init__(valid_seconds)
+        self.count_by_job = collections.Counter()
+
+    async def query(self, step, workers):
+        self.count_by_job[step.job] += 1
+        return await super().query(step, workers)
+
+
+@pytest.mark.parametrize(("workers", "gangs"), [(100, 4), (100, 8), (100, 20)])
+@on_virtual_time
+async def test_steps_that_query_all_the_time_do_not_use_up_the_queries(workers, gangs):
+    policy = CountingPolicy(valid_seconds=0.9)
+    fixture = AdviceFixture(workers, policy)
+    gang = STEP._replace(task_count=workers + 1, gang=True, max_per_worker=1)
+    for number in range(gangs):
+        fixture.submit(f"{number:016x}", gang, priority=1)
+    await fixture.plan(seconds=3)
+    fixture.submit("00000000000000f1", SERVICE, priority=3)
+    starts = await fixture.plan(seconds=2)
+    assert {start.run.task.job for start in starts} == {"00000000000000f1"}
+    assert policy.count_by_job["00000000000000f1"] >= 1
