List the hosts of runs to be moved once per check, not for each run

What operators would see: with many stuck backfill runs, the check of moves takes much of the process's time, four times a second.

Cause: for each stuck run, and each run on a draining worker, all workers of the service were listed with the run's task and its step's tasks by worker looked up anew.

Change: `Hosts` keeps, for one check, the workers that fit per needs of a task (resources, label, image), and of these the first two that the step's limit and the policy permit. Of two, one is never the run's own worker. Whether a run could run there is a condition on these workers, so that it is tested once per needs too.

--- a/savorydale/placement/colocation.py
+++ b/savorydale/placement/colocation.py
@@ -19,7 +19,7 @@
     split_share,
 )
 
-FindHosts = Callable[[WorkerLink, Run], Sequence[WorkerLink]]
+HasHost = Callable[[WorkerLink, Run], bool]
 
 
 class SpeedChange(NamedTuple):
@@ -262,21 +262,26 @@
         self,
         links: Sequence[WorkerLink],
         now: float,
-        find_hosts: FindHosts | None = None,
+        has_host: HasHost | None = None,
     ) -> list[Move]:
         """Return backfill runs that are throttled here but could run elsewhere.
 
-        ``find_hosts`` finds the workers that may get a run's task; by default, these
-        are all ``links``.
+        ``has_host`` tells whether another worker may take a run's task and could run
+        it; by default, all ``links`` may take it.
         """
         moves: list[Move] = []
         for link in links:
             for run in link.run_by_task.values():
                 if not self._is_stuck(run, now):
                     continue
-                hosts = links if find_hosts is None else find_hosts(link, run)
-                others = [other for other in hosts if other is not link]
-                if any(self._could_run(other, run) for other in others):
+                if has_host is None:
+                    is_movable = any(
+                        other is not link and self.could_run(other, run.spec)
+                        for other in links
+                    )
+                else:
+                    is_movable = has_host(link, run)
+                if is_movable:
                     moves.append(Move(link, run))
                 if len(moves) >= MOVES_PER_ROUND:
                     return moves
@@ -296,13 +301,14 @@
             return False
         return now - max(run.last_unstuck_at, run.confirmed_at) > STUCK_SECONDS
 
-    def _could_run(self, link: WorkerLink, run: Run) -> bool:
+    def could_run(self, link: WorkerLink, spec: StepSpec) -> bool:
+        """Return whether a backfill task would run well enough here to be moved."""
         if not link.is_in_contact(asyncio.get_running_loop().time()):
             return False
-        if not link.load.fits(run.spec):
+        if not link.load.fits(spec):
             return False
-        unused_ratio = unused_millicores(link.load) / max(1, run.spec.cpu_millicores)
-        return min(unused_ratio, self.speed_of(link, run.spec)) >= MOVE_MIN_SPEED
+        unused_ratio = unused_millicores(link.load) / max(1, spec.cpu_millicores)
+        return min(unused_ratio, self.speed_of(link, spec)) >= MOVE_MIN_SPEED
 
     def _throttle_of(self, worker: str) -> WorkerThrottle:
         return self._throttle_by_worker.setdefault(worker, WorkerThrottle())
--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -1,11 +1,13 @@
 """Stops runs that should continue on another worker."""
 
 import asyncio
-import functools
+import itertools
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from savorydale.counters import Counters
+from savorydale.jobs.model import StepSpec
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import StepName
@@ -20,6 +22,78 @@
 log = logging.getLogger(__name__)
 
 
+class Needs(NamedTuple):
+    """What decides whether a worker is suitable for tasks and has room for one."""
+
+    service: str
+    cpu_millicores: int
+    memory_mb: int
+    accelerators: int
+    required_label: str
+    backfill: bool
+    image: str
+
+
+class Hosts:
+    """The workers that may take the tasks of runs to be moved, at one point in time.
+
+    Runs of one step have the same hosts, and steps with the same needs share the
+    workers that fit, since hundreds of runs may be checked several times a second.
+    ``is_suitable`` is a further condition on a worker.
+    """
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        now: float,
+        is_suitable: Callable[[WorkerLink, StepSpec], bool] | None = None,
+    ):
+        self._state = state
+        self._fleets = Fleets(state, now)
+        self._is_suitable = is_suitable
+        self._fitting: dict[Needs, list[WorkerLink]] = {}
+        self._hosts: dict[tuple[str, StepName, StepSpec], list[WorkerLink]] = {}
+
+    def has_host_for(self, link: WorkerLink, run: Run) -> bool:
+        """Return whether another worker of the service may take a run's task."""
+        key = link.info.service, StepName(*run.task[:3]), run.spec
+        hosts = self._hosts.get(key)
+        if hosts is None:
+            # One of two is another worker in any case.
+            hosts = list(itertools.islice(self._find_hosts(link, run), 2))
+            self._hosts[key] = hosts
+        return any(host is not link for host in hosts)
+
+    def _find_hosts(self, link: WorkerLink, run: Run) -> Iterator[WorkerLink]:
+        fitting = self._list_fitting(link.info.service, run.spec)
+        found = self._state.job_tracker.find_task(run.task) if fitting else None
+        if found is None:
+            return
+        name, limit = StepName(*run.task[:3]), run.spec.max_per_worker
+        count_by_worker = found[0].count_by_worker()
+        for host in fitting:
+            is_below_limit = not limit or count_by_worker[host.worker] < limit
+            if is_below_limit and not self._state.advice.is_denied(name, host.worker):
+                yield host
+
+    def _list_fitting(self, service: str, spec: StepSpec) -> list[WorkerLink]:
+        """Return the suitable workers of a service on which such a task fits."""
+        needs = _needs_of(service, spec)
+        fitting = self._fitting.get(needs)
+        if fitting is None:
+            links = [
+                self._state.link_by_worker[candidate.worker]
+                for candidate in self._fleets.for_service(service).candidates
+                if can_host(spec, candidate, placed=0)
+            ]
+            is_suitable = self._is_suitable
+            fitting = [
+                link for link in links if is_suitable is None or is_suitable(link, spec)
+            ]
+            self._fitting[needs] = fitting
+        return fitting
+
+
 class RunMover:
     """Moves stuck backfill, runs on draining workers, and runs without progress."""
 
@@ -45,46 +119,24 @@
             for link in self._state.links
             if not link.info.is_draining and link.is_registered
         ]
-        fleets = Fleets(self._state, now)
+        hosts = Hosts(self._state, now, self._state.colocation.could_run)
         for link, run in self._state.colocation.choose_moves(
-            links, now, functools.partial(self._list_hosts, fleets)
+            links, now, hosts.has_host_for
         ):
             self._move(link, run, "backfill is throttled too far to protect services")
 
     def _move_runs_off_draining_workers(self) -> None:
         """Stop the runs that must leave draining workers."""
         now = asyncio.get_running_loop().time()
-        fleets = Fleets(self._state, now)
+        hosts = Hosts(self._state, now)
         for link in self._state.links:
             if not link.info.is_draining or not link.run_by_task:
                 continue
             for run in list(link.run_by_task.values()):
-                fits_elsewhere = any(self._find_hosts(fleets, link, run))
+                fits_elsewhere = hosts.has_host_for(link, run)
                 if must_move(run, link.seconds_left(now), now, fits_elsewhere):
                     self._move(link, run, "the worker is draining")
 
-    def _list_hosts(
-        self, fleets: Fleets, link: WorkerLink, run: Run
-    ) -> list[WorkerLink]:
-        return list(self._find_hosts(fleets, link, run))
-
-    def _find_hosts(
-        self, fleets: Fleets, link: WorkerLink, run: Run
-    ) -> Iterator[WorkerLink]:
-        """Find the other workers of the service on which the run's task may start."""
-        found = self._state.job_tracker.find_task(run.task)
-        if found is None:
-            return
-        count_by_worker = found[0].count_by_worker()
-        name = StepName(*run.task[:3])
-        for candidate in fleets.for_service(link.info.service).candidates:
-            if (
-                candidate.worker != link.worker
-                and can_host(run.spec, candidate, count_by_worker[candidate.worker])
-                and not self._state.advice.is_denied(name, candidate.worker)
-            ):
-                yield self._state.link_by_worker[candidate.worker]
-
     def _move_stalled_runs(self) -> None:
         """Stop runs without progress, and quarantine their workers for a while."""
         now = asyncio.get_running_loop().time()
@@ -116,6 +168,18 @@
         link.stop(run)
 
 
+def _needs_of(service: str, spec: StepSpec) -> Needs:
+    return Needs(
+        service,
+        spec.cpu_millicores,
+        spec.memory_mb,
+        spec.accelerators,
+        spec.required_label,
+        spec.backfill,
+        spec.image,
+    )
+
+
 def _runs_with_cpu(link: WorkerLink) -> list[Run]:
     """Return the runs on a worker, without backfill if no CPU may be left for it."""
     is_used_up = unused_millicores(link.load) < 0
--- a/savorydale/tests/scheduler/move_target_tests.py
+++ b/savorydale/tests/scheduler/move_target_tests.py
@@ -5,8 +5,10 @@
 import pytest
 
 from savorydale.counters import Counters
+from savorydale.orders.interface import Resources
 from savorydale.orders.runs import Run, RunState
 from savorydale.placement.advice import PolicyAnswer, StepName
+from savorydale.scheduler import run_mover as run_mover_module
 from savorydale.scheduler.run_mover import RunMover
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import (
@@ -22,6 +24,9 @@
     task_count=2, required_label="special", max_per_worker=1
 )
 SECONDS = 5.0
+WORKERS = 30
+STUCK_JOBS = 4
+STUCK_RUNS = 10  # of each job
 FAR_FUTURE = 1000.0
 
 
@@ -106,3 +111,47 @@
     fixture.here.info = fixture.here.info._replace(is_draining=True)
     obstacle(fixture)
     assert fixture.task.id not in await fixture.moved_tasks()
+
+
+@pytest.mark.parametrize("is_draining", [False, True])
+@on_virtual_time
+async def test_hosts_are_not_listed_for_each_run_that_waits_for_a_move(
+    monkeypatch, is_draining
+):
+    fixture = PlannerFixture(workers=WORKERS)
+    calls = []
+
+    def count(module, name):
+        function = getattr(module, name)
+        monkeypatch.setattr(
+            module,
+            name,
+            lambda *args, **kw: calls.append(name) or function(*args, **kw),
+        )
+
+    spec = BACKFILL._replace(task_count=STUCK_RUNS, required_label="missing")
+    for number in range(STUCK_JOBS):
+        spec = spec._replace(estimate_ms=1000 + number)
+        job = fixture.submit(f"{number:016x}", spec)
+        [step] = job.steps_of(0)
+        for task in step.tasks:
+            fixture.state.job_tracker.assign(step, task, "w0")
+            run = Run(task.id, 1, spec, 0.0, RunState.ACTIVE)
+            fixture.state.link_by_worker["w0"].reserve(run)
+            fixture.state.link_by_worker["w0"].load.set_speed(run, 0)
+    link = fixture.state.link_by_worker["w0"]
+    link.info = link.info._replace(is_draining=is_draining)
+    await asyncio.sleep(SECONDS)
+    for each in fixture.state.links:
+        each.last_contact_at = asyncio.get_running_loop().time()
+    count(run_mover_module, "can_host")
+    count(fixture.state.job_tracker, "find_task")
+    RunMover(fixture.state, Counters()).move_runs()
+    assert 0 < len(calls) <= 2 * WORKERS
+
+
+@on_virtual_time
+async def test_stuck_run_is_not_moved_to_its_own_worker():
+    fixture = MoveFixture(BACKFILL_STEP)
+    fixture.other.load.capacity = Resources(0, 0, 0)
+    assert await fixture.moved_tasks() == set()
