Bound the searches for the reasons of refusals in a planning round

What operators would see: with 1,500 refused services and 250 workers, the search for the reasons why they wait cuts off planning rounds that would otherwise be complete.

Cause: the reason was found for each service and second, inside of the round's 50 ms, by looking at all workers.

Change: services with the same needs (resources, label, gang) share a reason, apart from suspects, steps that need tickets and steps with a limit per worker. A round searches for 10 reasons at most; the others keep their last one, or "refused_reason_not_found_yet". With many different needs each reason is found less often, every 10 ms times their number, so that the first ones by rank do not use up the bound of each round.

--- a/savorydale/scheduler/refusals.py
+++ b/savorydale/scheduler/refusals.py
@@ -19,6 +19,26 @@
 REFUSAL_SECONDS = 2.0  # capacity may have been released since
 
 
+# The search for a reason looks at all workers, within the time of a planning round.
+MAX_REASONS_PER_ROUND = 10
+
+
+class RefusalKey(NamedTuple):
+    """What decides why a task is refused; tasks with equal keys are alike.
+
+    ``own_key`` names tasks whose reason depends on more than that: on a suspect's
+    isolation, on a step's tickets, or on where its other tasks run.
+    """
+
+    service: str
+    cpu_millicores: int
+    memory_mb: int
+    accelerators: int
+    required_label: str
+    gang: bool
+    own_key: TurnKey | None
+
+
 class RememberedRefusal(NamedTuple):
     """A task for which a recent round found no worker; ``at`` is when."""
 
@@ -39,9 +59,11 @@
         self._isolation = isolation
         self._decisions = decisions
         self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
+        self._reasons_left = MAX_REASONS_PER_ROUND
 
     def begin_round(self, keys: Iterable[TurnKey]) -> None:
         """Forget the refusals of what no longer waits."""
+        self._reasons_left = MAX_REASONS_PER_ROUND
         kept = set(keys)
         self._refusal_by_key = {
             key: refusal for key, refusal in self._refusal_by_key.items() if key in kept
@@ -91,7 +113,7 @@
         if not waiting.step.spec.long_running:
             return
         self._decisions.record_refusal(
-            waiting.key,
+            _refusal_key(waiting, fleet, needs_advice),
             [task for task in waiting.tasks if task.is_waiting],
             now,
             lambda: self._find_reason(waiting, fleet, needs_advice, now),
@@ -99,7 +121,11 @@
 
     def _find_reason(
         self, waiting: WaitingTasks, fleet: Fleet, needs_advice: bool, now: float
-    ) -> WaitReason:
+    ) -> WaitReason | None:
+        """Return the reason, or ``None`` if the round has found enough of them."""
+        if not self._reasons_left:
+            return None
+        self._reasons_left -= 1
         step, candidates = waiting.step, fleet.candidates
         if waiting.is_suspect:
             task = waiting.tasks[0]
@@ -123,3 +149,17 @@
             allowed_workers,
         )
         return find_refusal_reason(refusal, self._state, fleet.service, now)
+
+
+def _refusal_key(waiting: WaitingTasks, fleet: Fleet, needs_advice: bool) -> RefusalKey:
+    spec = waiting.step.spec
+    stands_alone = waiting.is_suspect or needs_advice or spec.max_per_worker > 0
+    return RefusalKey(
+        fleet.service,
+        spec.cpu_millicores,
+        spec.memory_mb,
+        spec.accelerators,
+        spec.required_label,
+        spec.gang,
+        waiting.key if stands_alone else None,
+    )
--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -18,6 +18,7 @@
 
 # The reason of a refusal is found by looking at all workers, so not each time.
 REASON_INTERVAL_SECONDS = 1.0
+REASON_INTERVAL_SECONDS_PER_KEY = 0.01  # with many kinds of tasks, less often
 
 
 class WaitReason(StrEnum):
@@ -33,6 +34,7 @@
     GANG_NOT_ENDED = "gang_members_not_ended"
     SUSPECT_WAITS_FOR_TURN = "suspect_waits_for_turn"
     # The task was tried, and no worker could take it.
+    REFUSED = "refused_reason_not_found_yet"
     NO_CAPACITY = "no_capacity"
     WORKERS_DRAINING = "workers_draining"
     WORKERS_NOT_REGISTERED = "workers_not_registered"
@@ -123,10 +125,11 @@
 
     def retain(self, tasks: Iterable[TaskId], now: float) -> None:
         """Forget all decisions but those on ``tasks``, and old explanations."""
+        interval = self._reason_interval_seconds
         self._explanation_by_key = {
             key: explanation
             for key, explanation in self._explanation_by_key.items()
-            if now - explanation.at < REASON_INTERVAL_SECONDS
+            if now - explanation.at < interval
         }
         kept = set(tasks)
         self._decision_by_task = {
@@ -163,20 +166,33 @@
         key: Hashable,
         tasks: Iterable[Task],
         now: float,
-        find_reason: Callable[[], WaitReason],
+        find_reason: Callable[[], WaitReason | None],
     ) -> None:
         """Record that no worker could take tasks of a service.
 
         The reason is found at most once per `REASON_INTERVAL_SECONDS` for a key, which
-        stands for tasks that are alike.
+        stands for tasks that are alike. If ``find_reason`` has no time for it now, the
+        last reason is kept.
         """
         explanation = self._explanation_by_key.get(key)
-        if explanation is None or now - explanation.at >= REASON_INTERVAL_SECONDS:
-            explanation = Explanation(find_reason(), now)
-            self._explanation_by_key[key] = explanation
+        interval = self._reason_interval_seconds
+        if explanation is None or now - explanation.at >= interval:
+            found = find_reason()
+            if found is not None:
+                explanation = self._explanation_by_key[key] = Explanation(found, now)
         for task in tasks:
-            decision = self._decide(task.id, explanation.reason, now)
-            decision.tried_reason, decision.tried_at = explanation.reason, now
+            earlier = self._decision_by_task.get(task.id)
+            reason = earlier.tried_reason if earlier else None
+            if explanation is not None:
+                reason = explanation.reason
+            decision = self._decide(task.id, reason or WaitReason.REFUSED, now)
+            decision.tried_reason, decision.tried_at = decision.reason, now
+
+    @property
+    def _reason_interval_seconds(self) -> float:
+        """Return the time between two searches for the same reason."""
+        key_count = len(self._explanation_by_key)
+        return max(REASON_INTERVAL_SECONDS, REASON_INTERVAL_SECONDS_PER_KEY * key_count)
 
     def _decide(
         self, task: TaskId, reason: WaitReason, now: float, detail: str = ""
