Share the scores of workers while one is held for a suspect

What operators would see: as long as any worker is held for a suspect of a crash, the workers are scored anew for each replica of a service, so that rounds are cut off sooner.

Cause: the scores are kept while the list of candidates is the same object. Leaving out the held workers makes a new list for each replica.

Change: lists of equal candidates share the scores. Within a round the candidates are the same objects, so that the comparison is cheap.

--- a/savorydale/scheduler/worker_scores.py
+++ b/savorydale/scheduler/worker_scores.py
@@ -43,9 +43,10 @@
         if not step.spec.long_running:
             return self.score_anew(step, fleet, min_speed)
         scored = self._scored_by_service.get(step.key)
+        # A list of open workers is made anew each time, from the round's candidates.
         if (
             scored is None
-            or scored.fleet.candidates is not fleet.candidates
+            or scored.fleet.candidates != fleet.candidates
             or scored.context.service_headroom != self._service_headroom(step, fleet)
         ):
             scored = self.score_anew(step, fleet, min_speed)
