Forget policy answers that arrive after their job has ended

What operators would see: memory grows slowly; an answer that arrives after the end of its job stays in the cache until the end of the term.

Cause: the end of a job discards its answers, but a query that was still pending made a new entry when its answer came.

Evidence: test_late_answer_about_an_ended_job_is_not_kept failed before (the ended job had tickets) and passes now.

--- a/savorydale/placement/advice.py
+++ b/savorydale/placement/advice.py
@@ -84,6 +84,10 @@
         self._advice_by_step: dict[StepName, StepAdvice] = {}
         self._pending_steps: set[StepName] = set()  # their queries have no answer yet
 
+    def awaits_answer(self, step: StepName) -> bool:
+        """Return whether a query is pending, and the step's job has not ended since."""
+        return step in self._pending_steps
+
     def ticket(self, step: StepName, worker: str, now: float) -> str:
         """Return a valid ticket, or an empty string."""
         advice = self._advice_by_step.get(step)
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -474,7 +474,8 @@
             answer = None
         now = asyncio.get_running_loop().time()
         advice = self._state.advice
-        advice.record_answer(step, workers, answer, now)
+        if advice.awaits_answer(step):
+            advice.record_answer(step, workers, answer, now)
         while requested := advice.take_requested_query(now):
             self._start_query(*requested)
 
--- a/savorydale/tests/scheduler/advice_wait_tests.py
+++ b/savorydale/tests/scheduler/advice_wait_tests.py
@@ -7,7 +7,7 @@
 
 from savorydale.jobs.model import JobSpec, StepSpec
 from savorydale.jobs.rows import JobRow, JobStatus
-from savorydale.placement.advice import PolicyAnswer
+from savorydale.placement.advice import PolicyAnswer, StepName
 from savorydale.platform.advice import PlatformPolicyService
 from savorydale.platform.http import HttpReply
 from savorydale.tests.harness import on_virtual_time
@@ -116,3 +116,16 @@
     starts = await fixture.plan(seconds=2)
     assert {start.run.task.job for start in starts} == {"00000000000000f1"}
     assert policy.count_by_job["00000000000000f1"] >= 1
+
+
+@on_virtual_time
+async def test_late_answer_about_an_ended_job_is_not_kept():
+    fixture = AdviceFixture(3, PolicyFake())
+    job = fixture.submit("00000000000000a1", STEP)
+    fixture.planner.plan()
+    advice, name = fixture.state.advice, StepName(job.id, 0, 0)
+    assert advice.awaits_answer(name)
+    advice.remove_job(job.id)
+    await asyncio.sleep(2 * ANSWER_SECONDS)
+    now = asyncio.get_running_loop().time()
+    assert not any(advice.ticket(name, f"w{number}", now) for number in range(3))
