Do not give up an innocent service after four crashes of its rack

One of the four crashes of a task was beside few others while it had started at its own time. That counted as one that does not coincide with others, and so lowered the bound from five crashes to four.

It counts as coincident now, as its name says; a task that crashes its workers still starts at most five times.

--- a/savorydale/placement/crash_history.py
+++ b/savorydale/placement/crash_history.py
@@ -86,7 +86,7 @@
                 return NO_EVIDENCE
             case CrashVerdict.OTHER_CAUSE:
                 return CrashEvidence(explained=1)
-            case CrashVerdict.OTHER_CAUSE_OF_FEW:
+            case CrashVerdict.OTHER_CAUSE_OF_FEW | CrashVerdict.BESIDE_FEW:
                 return CrashEvidence(coincident=1)
             case CrashVerdict.COINCIDENT | CrashVerdict.UNJUDGED:
                 return CrashEvidence(coincident=1, coincident_alone=int(self.is_alone))
