--- a/savorydale/orders/lease_clock.py
+++ b/savorydale/orders/lease_clock.py
@@ -5,7 +5,7 @@
 MAX_CLOCK_DRIFT = 0.02  # a worker's steady clock may run slow by this fraction
 LAPSE_MARGIN_SECONDS = 0.2
 UNKNOWN_CLOCK_MARGIN_SECONDS = 1.0
-MAX_EXTENSION_SECONDS = 2.0
+MAX_EXTENSION_SECONDS = 2.0  # after the last response of the worker
 MILLISECONDS_PER_SECOND = 1000
 
 
