--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -202,12 +202,14 @@
 class Worker(TaskWorkerStandin):
     """A worker that keeps its registration up to date, as its page says.
 
-    It reports ``service_tail_ms`` as the tail latency of each task that lasts.
+    It reports ``service_tail_ms`` as the tail latency of each task that lasts. While
+    ``is_shedding`` it starts nothing and is otherwise sound.
     """
 
     address: str = ""
     server: "Server"
     service_tail_ms = 3
+    is_shedding = False
     checks_tickets: Callable[[str], bool] = staticmethod(lambda task: False)
 
     async def handle(
@@ -215,6 +217,8 @@
     ) -> Reply:
         """Handle one request."""
         await asyncio.sleep(ZONE_ROUND_TRIP_SECONDS)
+        if path == "/-/run-start" and self.is_shedding:
+            return Reply(503, {})
         if path == "/-/run-start" and self.needs_ticket(body or {}):
             return self._reply(409, reason="ticket")
         reply = await super().handle(method, path, params, body)
