--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,85 +1,87 @@
-"""A caller cancels a job whose submission the store carries out late."""
+"""A service whose image has a long name keeps all other jobs from being started.
+
+The jobs are in a queue with `advice`, so that their starts wait for an answer of the
+policy service, as on any such queue.
+"""
 
 import asyncio
 
-from review.common.deployment import Deployment, JsonObject, Record, has_trouble, main
+from review.common.deployment import (
+    FINISH_SECONDS,
+    GUARDED_PREFIX,
+    Deployment,
+    JsonObject,
+    Record,
+    has_trouble,
+    main,
+)
 from standins.task_worker import Plan
 
-WORKERS = 3
+WORKERS = 24
+JOBS = 6
 TASK_SECONDS = 0.6
-LATE_SECONDS = 6.0  # lost writes are done 1 to 6 s later
-CANCEL_SECONDS = 3.0  # after a cancel was acknowledged, no task starts
-WATCH_SECONDS = 12.0
-OTHER_JOBS = 100  # submitted by another caller, one each `WATCH_SECONDS / OTHER_JOBS`
+SETTLE_SECONDS = 5.0  # the scheduler has had reports of the service's tail latency
+IDLE_SECONDS = 3.0  # without a run, though there is capacity
 CAPACITY = {"cpu": 32_000, "memMb": 128_000, "gpu": 0}
-CANCELLED_ID = f"{0xCA11:016x}"
+SERVICE_ID = f"{0xFEED:016x}"
 STEP = {"count": 4, "cpu": 500, "memMb": 256, "estRuntimeMs": 600}
+SHORT_IMAGE = "gate-feed:1"
+LONG_IMAGE = "registry.tally.example/" + "/".join(["venues-and-fairs"] * 11) + ":1"
 
 
-class LossyWrites:
-    """Loses the answers to the submission of one job, and counts all writes."""
-
-    def __init__(self, record: Record):
-        self._record = record
-        self.lost_at: list[float] = []
-        self.written_at: list[float] = []
+def make_service() -> JsonObject:
+    """Return the step of the service."""
+    step = {"count": 6, "cpu": 2_000, "memMb": 1_024, "estRuntimeMs": 300}
+    step |= {"longRunning": True, "targetMs": 20, "mayMiss": 1}
+    return {**step, "image": LONG_IMAGE if has_trouble() else SHORT_IMAGE}
 
-    def find_delay(self, body: JsonObject) -> float | None:
-        """Return for how long a write is held back, or ``None`` if it is answered."""
-        now = self._record.seconds()
-        self.written_at.append(now)
-        rows = [(row["table"], row["key"]) for row in body.get("setKeys") or []]
-        if ("jobs", CANCELLED_ID) not in rows or not has_trouble():
-            return None
-        self._record.write(
-            f"platform: a write is lost, and done {LATE_SECONDS} s later"
-        )
-        self.lost_at.append(now)
-        return LATE_SECONDS
 
-    def share_lost(self) -> float:
-        """Return the share of the writes between the first and the last lost one."""
-        if not self.lost_at:
-            return 0.0
-        first, last = self.lost_at[0], self.lost_at[-1]
-        return len(self.lost_at) / sum(first <= at <= last for at in self.written_at)
+async def play(record: Record) -> bool:
+    """Return whether no job was idle for too long after the end of the traffic."""
 
+    def plan(task: str, run: int) -> Plan:
+        return Plan(None if task.startswith(SERVICE_ID) else TASK_SECONDS)
 
-async def play(record: Record) -> bool:
-    """Return whether no task of the cancelled job was started too late."""
-    deployment = Deployment(record, lambda task, run: Plan(TASK_SECONDS), WORKERS)
+    deployment = Deployment(record, plan, WORKERS)
     for worker in deployment.workers:
         worker.capacity = CAPACITY
-    writes = LossyWrites(record)
+        worker.checks_tickets = lambda task: not task.startswith(SERVICE_ID)
+    jobs = [f"{0x5C0E0000 + number:016x}" for number in range(JOBS)]
     async with deployment.open(entry_count=3):
-        entry, other = deployment.entries[0], deployment.entries[1]
-        deployment.store.find_delay = writes.find_delay
-        traffic = asyncio.create_task(_submit_others(deployment))
-        answer = await deployment.submit(entry, CANCELLED_ID, [STEP])
-        record.write(f"client: gives the job up after status {answer.status}")
-        answer = await deployment.call(other, "DELETE", CANCELLED_ID)
-        if answer.status not in (200, 410):
-            raise RuntimeError("the cancel was not acknowledged")
-        acknowledged_at = record.seconds()
-        await traffic
-        await deployment.state_of(other, CANCELLED_ID)
-    late = [
-        event
-        for event in deployment.starts_of(CANCELLED_ID)
-        if event.at > acknowledged_at + CANCEL_SECONDS
-    ]
-    record.write(f"check: {writes.share_lost():.2f} of the writes were lost meanwhile")
-    record.write(f"check: acknowledged at {acknowledged_at:.3f}")
-    for event in late:
-        record.write(f"check: too late: {event}")
-    return not late
+        entry = deployment.entries[0]
+        service = make_service()
+        record.write(f"the image's name has {len(service['image'])} bytes")
+        answer = await deployment.submit(entry, SERVICE_ID, [service])
+        if answer.status != 200:
+            raise RuntimeError("the service was not accepted")
+        await asyncio.sleep(SETTLE_SECONDS)
+        for job in jobs:
+            answer = await deployment.submit(entry, job, [STEP], GUARDED_PREFIX)
+            if answer.status != 200:
+                raise RuntimeError("a job was not accepted")
+        traffic_ended_at = record.seconds()
+        await asyncio.sleep(FINISH_SECONDS + IDLE_SECONDS)
+        asked_at = record.seconds()
+        states = [await deployment.state_of(entry, job) for job in jobs]
+        lost = [
+            job
+            for job, state in zip(jobs, states, strict=True)
+            if state in ("queued", "running")
+            and not _has_run(deployment, job, asked_at)
+        ]
+    record.write(f"check: the traffic ended at {traffic_ended_at:.3f}")
+    for job, state in zip(jobs, states, strict=True):
+        starts = len(deployment.starts_of(job))
+        record.write(f"check: {job} is shown as {state} after {starts} starts")
+    record.write(f"check: {len(lost)} jobs had nothing running for {IDLE_SECONDS} s")
+    record.write(f"check: the store refused {deployment.store.refusals} transactions")
+    return not lost
 
 
-async def _submit_others(deployment: Deployment) -> None:
-    """Submit ordinary jobs of another caller."""
-    for number in range(OTHER_JOBS):
-        await deployment.submit(deployment.entries[2], f"{number + 1:016x}", [STEP])
-        await asyncio.sleep(WATCH_SECONDS / OTHER_JOBS)
+def _has_run(deployment: Deployment, job: str, until: float) -> bool:
+    """Return whether a task of the job ran in the last `IDLE_SECONDS`."""
+    since = until - IDLE_SECONDS - TASK_SECONDS
+    return any(since <= start.at <= until for start in deployment.starts_of(job))
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,92 +1,85 @@
-"""Jobs whose starts are refused are not counted as pending, though none has begun."""
+"""A caller cancels a job whose submission the store carries out late."""
 
 import asyncio
 
-from review.common.deployment import Deployment, Record, has_trouble, main
+from review.common.deployment import Deployment, JsonObject, Record, has_trouble, main
 from standins.task_worker import Plan
 
-WORKERS = 24
-SHEDDING_WORKERS = 2  # 0.083 of them
-SHEDDING_SECONDS = 6.5
-VISIBLE_SECONDS = 5.0  # `visible_ms` and 2 s
-JOBS = 6
+WORKERS = 3
 TASK_SECONDS = 0.6
-START_SECONDS = 10.0
+LATE_SECONDS = 6.0  # lost writes are done 1 to 6 s later
+CANCEL_SECONDS = 3.0  # after a cancel was acknowledged, no task starts
+WATCH_SECONDS = 12.0
+OTHER_JOBS = 100  # submitted by another caller, one each `WATCH_SECONDS / OTHER_JOBS`
 CAPACITY = {"cpu": 32_000, "memMb": 128_000, "gpu": 0}
-SERVICE_ID = f"{0xFEED:016x}"
-SERVICE = {"count": WORKERS - SHEDDING_WORKERS, "cpu": 30_000, "memMb": 64_000}
-SERVICE |= {"longRunning": True, "image": "feed:1", "antiAffinity": 1}
-STEP = {"count": 1, "cpu": 4_000, "memMb": 4_600, "estRuntimeMs": 600}
+CANCELLED_ID = f"{0xCA11:016x}"
+STEP = {"count": 4, "cpu": 500, "memMb": 256, "estRuntimeMs": 600}
 
 
-async def play(record: Record) -> bool:
-    """Return whether the queue never gave too few jobs as pending."""
+class LossyWrites:
+    """Loses the answers to the submission of one job, and counts all writes."""
+
+    def __init__(self, record: Record):
+        self._record = record
+        self.lost_at: list[float] = []
+        self.written_at: list[float] = []
+
+    def find_delay(self, body: JsonObject) -> float | None:
+        """Return for how long a write is held back, or ``None`` if it is answered."""
+        now = self._record.seconds()
+        self.written_at.append(now)
+        rows = [(row["table"], row["key"]) for row in body.get("setKeys") or []]
+        if ("jobs", CANCELLED_ID) not in rows or not has_trouble():
+            return None
+        self._record.write(
+            f"platform: a write is lost, and done {LATE_SECONDS} s later"
+        )
+        self.lost_at.append(now)
+        return LATE_SECONDS
+
+    def share_lost(self) -> float:
+        """Return the share of the writes between the first and the last lost one."""
+        if not self.lost_at:
+            return 0.0
+        first, last = self.lost_at[0], self.lost_at[-1]
+        return len(self.lost_at) / sum(first <= at <= last for at in self.written_at)
 
-    def plan(task: str, run: int) -> Plan:
-        return Plan(None if task.startswith(SERVICE_ID) else TASK_SECONDS)
 
-    deployment = Deployment(record, plan, WORKERS)
+async def play(record: Record) -> bool:
+    """Return whether no task of the cancelled job was started too late."""
+    deployment = Deployment(record, lambda task, run: Plan(TASK_SECONDS), WORKERS)
     for worker in deployment.workers:
         worker.capacity = CAPACITY
-    jobs = [f"{0x5C0E0000 + number:016x}" for number in range(JOBS)]
+    writes = LossyWrites(record)
     async with deployment.open(entry_count=3):
-        entry = deployment.entries[0]
-        answer = await deployment.submit(entry, SERVICE_ID, [SERVICE])
-        if answer.status != 200:
-            raise RuntimeError("the service was not accepted")
-
-        async def has_service_started() -> bool:
-            return len(deployment.starts_of(SERVICE_ID)) == SERVICE["count"]
-
-        if not await deployment.wait_until(
-            has_service_started,
-            START_SECONDS,
-            "the service runs on all but two workers",
-        ):
-            raise RuntimeError("the service did not start")
-        free = [worker for worker in deployment.workers if not worker.run_by_task]
-        shedding_from = record.seconds()
-        for worker in free if has_trouble() else ():
-            record.write(f"worker {worker.worker}: answers 503 to starts")
-            worker.is_shedding = True
-        for job in jobs:
-            answer = await deployment.submit(entry, job, [STEP])
-            if answer.status != 200:
-                raise RuntimeError("a job was not accepted")
-        accepted_at = record.seconds()
-        await asyncio.sleep(VISIBLE_SECONDS)
-        too_few = await _find_too_few(
-            deployment, jobs, shedding_from + SHEDDING_SECONDS, accepted_at
-        )
-        for worker in free:
-            worker.is_shedding = False
-        record.write("worker: all workers start runs")
-        await asyncio.sleep(VISIBLE_SECONDS)
-        for job in jobs:
-            await deployment.state_of(entry, job)
-    record.write(f"check: {too_few} answers gave under half of the jobs as pending")
-    return too_few == 0
+        entry, other = deployment.entries[0], deployment.entries[1]
+        deployment.store.find_delay = writes.find_delay
+        traffic = asyncio.create_task(_submit_others(deployment))
+        answer = await deployment.submit(entry, CANCELLED_ID, [STEP])
+        record.write(f"client: gives the job up after status {answer.status}")
+        answer = await deployment.call(other, "DELETE", CANCELLED_ID)
+        if answer.status not in (200, 410):
+            raise RuntimeError("the cancel was not acknowledged")
+        acknowledged_at = record.seconds()
+        await traffic
+        await deployment.state_of(other, CANCELLED_ID)
+    late = [
+        event
+        for event in deployment.starts_of(CANCELLED_ID)
+        if event.at > acknowledged_at + CANCEL_SECONDS
+    ]
+    record.write(f"check: {writes.share_lost():.2f} of the writes were lost meanwhile")
+    record.write(f"check: acknowledged at {acknowledged_at:.3f}")
+    for event in late:
+        record.write(f"check: too late: {event}")
+    return not late
 
 
-async def _find_too_few(
-    deployment: Deployment, jobs: list[str], until: float, accepted_at: float
-) -> int:
-    """Ask all entries until ``until``; return how many gave too few as pending."""
-    record = deployment.record
-    too_few = 0
-    while record.seconds() < until:
-        for entry in deployment.entries:
-            not_begun = sum(not deployment.starts_of(job) for job in jobs)
-            answer = await deployment.call(entry, "GET", "")
-            pending = answer.body.get("pending", 0) if answer.status == 200 else None
-            still = sum(not deployment.starts_of(job) for job in jobs)
-            age = record.seconds() - accepted_at
-            record.write(f"check: after {age:.2f} s {still} jobs have not begun")
-            too_few += pending is not None and 2 * pending < min(not_begun, still)
-        for job in jobs:
-            await deployment.state_of(deployment.entries[0], job)
-        await asyncio.sleep(0.2)
-    return too_few
+async def _submit_others(deployment: Deployment) -> None:
+    """Submit ordinary jobs of another caller."""
+    for number in range(OTHER_JOBS):
+        await deployment.submit(deployment.entries[2], f"{number + 1:016x}", [STEP])
+        await asyncio.sleep(WATCH_SECONDS / OTHER_JOBS)
 
 
 if __name__ == "__main__":
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -415,7 +415,8 @@
     async def crash(self, worker: Worker, down_seconds: float) -> None:
         """Crash a worker: connections break and are refused until it is back.
 
-        It comes back as another worker: under a new id, at the same address.
+        It comes back as another worker: under a new id, at the same address. Its old
+        registration is removed after three heartbeat intervals of silence.
         """
         self.record.write(f"worker {worker.worker}: crashes")
         await worker.server.close()
