--- a/review/common/run_case.sh
+++ b/review/common/run_case.sh
@@ -9,7 +9,6 @@
 }
 export PYTHONPATH="$PWD:$PWD/target/deps"
 export PYTHONPYCACHEPREFIX="$PWD/target/review-pycache"
-export TROUBLE="${TROUBLE:-1}"
 python3 -c "import review.common.deployment" || exit 2
 set +e
 timeout --signal=TERM --kill-after=5 115 python3 "$folder/case.py"
