Drop a run only if a complete list of ends leaves it out

Runs that were neither active nor among the first 500 counted as vanished, or as not started after a takeover, and were started again. Their ends came with a later list.

The adapter now says whether a list of ends is complete, and only a complete list shows that a run does not exist.

--- a/savorydale/orders/interface.py
+++ b/savorydale/orders/interface.py
@@ -98,13 +98,15 @@
 class Renewed:
     """The lease was renewed; the lists show the active and ended runs of the worker.
 
-    ``clock_ms`` is the time on the worker's steady clock.
+    ``clock_ms`` is the time on the worker's steady clock. If ``has_all_ended`` is
+    false, further runs may have ended; they are listed once ``ended`` is acknowledged.
     """
 
     clock_ms: int
     born_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    has_all_ended: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -434,7 +434,11 @@
         self._apply_ended_runs(renewed.ended)
         active_by_task = {active.task: active for active in renewed.active}
         for run in list(self.run_by_task.values()):
-            self._reconcile(run, active_by_task.pop(run.task, None), sent_at, token)
+            active = active_by_task.pop(run.task, None)
+            if active is not None:
+                self._reconcile_active(run, active, sent_at)
+            elif renewed.has_all_ended:
+                self._reconcile_missing(run, sent_at, token)
         for active in active_by_task.values():
             self._stop_orphaned_run(active)
         self._listener.on_report(self)
@@ -449,20 +453,22 @@
                 self._remove(run)
             self._listener.on_end(self, end)
 
-    def _reconcile(
-        self, run: Run, active: ActiveRun | None, sent_at: float, token: int
-    ) -> None:
-        if active is not None and active.run == run.number:
-            self._confirm(run)
-            run.record_progress(active.progress_percent, self.last_contact_at or 0.0)
-            run.usage = active.usage
-            self._check_probation(run, sent_at)
-            if run.stop_requested:
-                self._send_stop(run)
-            return
-        if active is not None:
+    def _reconcile_active(self, run: Run, active: ActiveRun, sent_at: float) -> None:
+        if active.run != run.number:
             self._wait_for_other_run(run, active)
             return
+        self._confirm(run)
+        run.record_progress(active.progress_percent, self.last_contact_at or 0.0)
+        run.usage = active.usage
+        self._check_probation(run, sent_at)
+        if run.stop_requested:
+            self._send_stop(run)
+
+    def _reconcile_missing(self, run: Run, sent_at: float, token: int) -> None:
+        """Drop a run that is neither active nor ended, so that it does not exist.
+
+        This needs a complete list of ends: one that is cut off may leave out the end.
+        """
         is_resolved = run.state is RunState.UNKNOWN and token >= run.resolving_token
         is_vanished = run.state is RunState.ACTIVE and run.confirmed_at < sent_at
         if is_resolved or is_vanished:
--- a/savorydale/platform/workers.py
+++ b/savorydale/platform/workers.py
@@ -39,6 +39,7 @@
 ORDER_TIMEOUT_SECONDS = 1.0
 MAX_REPLY_BYTES = 4 * 1024 * 1024
 MAX_LISTED_RUNS = 20_000
+MAX_LISTED_ENDS = 500  # a worker that has more to report leaves out the latest
 MAX_CLOCK_MS = 100_000_000_000_000
 MAX_RUN_NUMBER = 1_000_000_000_000
 MAX_PROGRESS_PERCENT = 100
@@ -168,11 +169,13 @@
 
 
 def _parse_renewed(body: JsonObject) -> Renewed:
+    ended = _to_runs(body["ended"])
     return Renewed(
         to_whole_number(body["clockMs"], 0, MAX_CLOCK_MS),
         to_whole_number(body.get("born") or 0, 0, MAX_UNIX_MS),
         tuple(_parse_active(to_list(fields)) for fields in _to_runs(body["running"])),
-        tuple(_parse_ended(to_list(fields)) for fields in _to_runs(body["ended"])),
+        tuple(_parse_ended(to_list(fields)) for fields in ended),
+        len(ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -177,6 +177,17 @@
     assert sent == {"ackCursor": 4, "waitMs": 500, "deadlineMs": 900, "fenceToken": 7}
 
 
+@pytest.mark.parametrize(("count", "has_all"), [(0, True), (499, True), (500, False)])
+def test_full_list_of_ends_may_leave_out_others(count, has_all):
+    """Guards against a run that counts as lost since its end was cut off."""
+    ended = [[number + 1, str(TASK), 1, "done", ""] for number in range(count)]
+    body = {"clockMs": 100, "born": 7, "running": [], "ended": ended}
+    workers, _ = make_workers(HttpReply(200, body))
+    renewed = asyncio.run(workers.renew(TARGET, RenewOrder(0, None, 0)))
+    assert len(renewed.ended) == count
+    assert renewed.has_all_ended is has_all
+
+
 def test_malformed_list_of_runs_counts_as_unanswered():
     workers, _ = make_workers(HttpReply(200, {"running": "?"}))
     outcome = asyncio.run(workers.renew(TARGET, RenewOrder(0, None, 0)))
