Use no text of callers or operators as a key that the store refuses

The store refused the whole transaction, so the lease was not renewed; the next holder did the same. The summary of a queue was stored under the queue's name in the same way.

A name that may be no valid key (over 199 bytes, empty, not printable) is replaced by its digest, and the row of a fit then holds the name. Other names keep their keys, so stored rows stay valid. The stand-in of the store refuses such keys now, as the platform does, and the stand-in of a worker can report usage.

--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -11,6 +11,9 @@
 tails       service image        fitted model of its tail latency
 scheduler   ``lease``            which entry schedules; orders its transactions
 ==========  ===================  ==============================================
+
+The names of queues and images are keys only if the store allows them; see
+`key_of_name`.
 """
 
 import json
@@ -19,6 +22,7 @@
 
 from savorydale.exceptions import RowFormatError
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
+from savorydale.jobs.name_keys import is_digest, key_of_name
 from savorydale.placement.crashes import NO_CRASHES, CrashCounts
 from savorydale.placement.interference import INTERCEPT, TailFit
 from savorydale.storage.rows import RowKey
@@ -109,6 +113,13 @@
     counted_ms: int
 
 
+class TailRow(NamedTuple):
+    """Fitted model of the tail latency of a service image."""
+
+    service_image: str
+    fit: TailFit
+
+
 def job_key(job: str) -> RowKey:
     """Return the key of the row with the job's spec."""
     return RowKey(JOBS_TABLE, job)
@@ -131,7 +142,7 @@
 
 def summary_key(queue: str) -> RowKey:
     """Return the key of the row with the number of a queue's waiting jobs."""
-    return RowKey(SUMMARIES_TABLE, queue)
+    return RowKey(SUMMARIES_TABLE, key_of_name(queue))
 
 
 def encode_job(row: JobRow) -> bytes:
@@ -280,25 +291,29 @@
 
 def tail_key(service_image: str) -> RowKey:
     """Return the key of the row with the fitted model of a service image."""
-    return RowKey(TAILS_TABLE, service_image)
+    return RowKey(TAILS_TABLE, key_of_name(service_image))
 
 
-def encode_tail_fit(fit: TailFit, max_bytes: int) -> bytes:
+def encode_tail(row: TailRow, max_bytes: int) -> bytes:
     """Encode the fitted model of a service image in at most ``max_bytes``.
 
     The size grows with the square of the number of images. Those with the least
-    evidence are left out; they are learned again after a takeover.
+    evidence are left out; they are learned again after a takeover. The service image
+    is stored only if the row's key does not show it.
     """
+    fit = row.fit
+    is_hidden = is_digest(tail_key(row.service_image).key)
+    hidden_image = [row.service_image] if is_hidden else []
     names = sorted(fit.products, key=fit.evidence, reverse=True)
     names.sort(key=lambda name: name != INTERCEPT)
     while True:
-        value = _encode_fit_of(fit, set(names))
+        value = _dump([*_sums_of(fit, set(names)), *hidden_image])
         if len(value) <= max_bytes or not names:
             return value
         names = names[: int(len(names) * KEPT_IMAGES_RATIO)]
 
 
-def _encode_fit_of(fit: TailFit, names: set[str]) -> bytes:
+def _sums_of(fit: TailFit, names: set[str]) -> tuple[list[Any], dict[str, float]]:
     moments = [
         [first, second, float(f"{value:.{SIGNIFICANT_DIGITS}g}")]
         for (first, second), value in fit.moments.items()
@@ -309,14 +324,15 @@
         for name, value in fit.products.items()
         if name in names
     }
-    return _dump([moments, products])
+    return moments, products
 
 
-def decode_tail_fit(value: bytes) -> TailFit:
-    """Decode a value that `encode_tail_fit` returned."""
+def decode_tail(key: str, value: bytes) -> TailRow:
+    """Decode a value that `encode_tail` returned, stored under ``key``."""
     data = load_json(value)
     try:
-        moments, products = data
+        moments, products, *hidden_image = data
+        [service_image] = hidden_image or [key]
         fit = TailFit()
         for first, second, moment in moments:
             fit.moments[first, second] = to_float(moment)
@@ -324,7 +340,7 @@
         fit.products.update(
             {name: to_float(item) for name, item in to_object(products).items()}
         )
-        return fit
+        return TailRow(to_text(service_image), fit)
     except (TypeError, ValueError) as error:
         raise RowFormatError(f"invalid tail fit row: {error!r}") from error
 
--- a/savorydale/scheduler/housekeeping.py
+++ b/savorydale/scheduler/housekeeping.py
@@ -8,8 +8,9 @@
 from savorydale.jobs.rows import (
     JobStatus,
     SummaryRow,
+    TailRow,
     encode_summary,
-    encode_tail_fit,
+    encode_tail,
     state_key,
     summary_key,
     tail_key,
@@ -84,8 +85,8 @@
 
     def _write_tail_fits(self) -> None:
         for image, fit in self._state.colocation.model.take_changed().items():
-            key = tail_key(image)
-            self._state.write(key, encode_tail_fit(fit, self._max_row_bytes))
+            value = encode_tail(TailRow(image, fit), self._max_row_bytes)
+            self._state.write(tail_key(image), value)
 
     def _update_known_queues(self) -> set[str]:
         self._known_queues.update(
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -16,7 +16,7 @@
     JobStatus,
     decode_state,
     decode_step,
-    decode_tail_fit,
+    decode_tail,
 )
 from savorydale.orders.runs import Run
 from savorydale.scheduler.admission import JobAdmission
@@ -164,11 +164,11 @@
 
 def _load_tail_fit(state: SchedulerState, row: StoredRow) -> None:
     try:
-        fit = decode_tail_fit(row.value or b"")
+        tail = decode_tail(row.name.key, row.value or b"")
     except RowFormatError as error:
         log.warning("fit is skipped", extra={"reason": str(error)})
         return
-    state.colocation.model.restore(row.name.key, fit)
+    state.colocation.model.restore(tail.service_image, tail.fit)
 
 
 def _collect_assigned_runs(
--- a/savorydale/tests/jobs/rows_tests.py
+++ b/savorydale/tests/jobs/rows_tests.py
@@ -15,17 +15,19 @@
     JobStatus,
     StateRow,
     SummaryRow,
+    TailRow,
     TaskRow,
     decode_job,
     decode_state,
     decode_step,
     decode_summary,
-    decode_tail_fit,
+    decode_tail,
     encode_job,
     encode_state,
     encode_step,
     encode_summary,
-    encode_tail_fit,
+    encode_tail,
+    tail_key,
 )
 from savorydale.placement.crashes import CrashCounts
 from savorydale.placement.interference import INTERCEPT, TailFit
@@ -126,13 +128,21 @@
     assert configuration.find_queue("other", "/a/1") is None
 
 
-def test_tail_fit_round_trip():
+def store_and_read_fit(fit, max_bytes=MAX_ROW_BYTES, image="feed"):
+    value = encode_tail(TailRow(image, fit), max_bytes)
+    row = decode_tail(tail_key(image).key, value)
+    assert row.service_image == image
+    return row.fit
+
+
+@pytest.mark.parametrize("image", ["feed", "", "n" * 300, "a\ud800", "sha256-00"])
+def test_tail_fit_round_trip(image):
     fit = TailFit()
     for share in (0.0, 0.1, 0.2):
         fit.observe({"heavy": share}, 2.0 + 8.0 * share)
     for _ in range(50):
         fit.fit()
-    restored = decode_tail_fit(encode_tail_fit(fit, MAX_ROW_BYTES))
+    restored = store_and_read_fit(fit, image=image)
     for _ in range(50):
         restored.fit()
     assert abs(restored.coefficients["heavy"] - fit.coefficients["heavy"]) < 0.01
@@ -142,8 +152,8 @@
     fit = TailFit()
     images = [f"image-with-a-long-name-{number:03}" for number in range(200)]
     fit.observe({image: 1 / (number + 1) for number, image in enumerate(images)}, 2.0)
-    encoded = encode_tail_fit(fit, MAX_ROW_BYTES)
-    restored = decode_tail_fit(encoded)
+    encoded = encode_tail(TailRow("feed", fit), MAX_ROW_BYTES)
+    restored = decode_tail("feed", encoded).fit
     assert 0.3 * MAX_ROW_BYTES < len(encoded) <= MAX_ROW_BYTES
     assert INTERCEPT in restored.products
     assert images[0] in restored.products
@@ -153,4 +163,4 @@
 def test_fit_that_cannot_be_stored_is_empty():
     fit = TailFit()
     fit.observe({"x" * 1000: 0.5}, 2.0)
-    assert decode_tail_fit(encode_tail_fit(fit, 10)).products == {}
+    assert store_and_read_fit(fit, 10).products == {}
--- a/savorydale/tests/platform/fuzz_tests.py
+++ b/savorydale/tests/platform/fuzz_tests.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import copy
+import functools
 import json
 
 import pytest
@@ -25,7 +26,7 @@
     decode_state,
     decode_step,
     decode_summary,
-    decode_tail_fit,
+    decode_tail,
     encode_job,
     encode_state,
     encode_step,
@@ -212,7 +213,7 @@
 
 @fuzzed(TAIL_ROW)
 def test_tail_rows_are_decoded_or_skipped(message):
-    check_decoder(decode_tail_fit, message)
+    check_decoder(functools.partial(decode_tail, "feed"), message)
 
 
 @fuzzed(LEASE_ROW)
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -9,6 +9,7 @@
 MAX_TRANSACTION_ROWS = 100
 PAGE_ROWS = 500
 MAX_VALUE_CHARACTERS = 87_384  # 65,536 bytes in base64
+MAX_NAME_BYTES = 200  # of a table, a part or a key
 MAX_QUEUEING_SECONDS = 1.0  # longer queueing is refused with status 429
 CLOCK_RESOLUTION_SECONDS = 0.001
 PROTECTED_TABLES = ("op", "servers")
@@ -95,6 +96,8 @@
         removals = body.get("remove") or []
         if len(conditions) + len(sets) + len(removals) > MAX_TRANSACTION_ROWS:
             return Reply(400, {"error": "too many entries"})
+        if not all(_has_valid_name(row) for row in [*conditions, *sets, *removals]):
+            return Reply(400, {"error": "a row's name is not valid"})
         if any(len(row["value"]) > MAX_VALUE_CHARACTERS for row in sets):
             return Reply(400, {"error": "a value is too large"})
         if any(row["table"] in PROTECTED_TABLES for row in [*sets, *removals]):
@@ -118,6 +121,8 @@
         self.reads += 1
         first = params.get("from", "")
         end = params.get("to")
+        if not (_is_valid_text(first) and _is_valid_text(end or "")):
+            return Reply(400, {"error": "a key is not valid"})
         names = sorted(
             name
             for name in self._row_by_name
@@ -191,5 +196,19 @@
         return {**document, "value": base64.b64encode(value).decode()}
 
 
+def _has_valid_name(row: JsonObject) -> bool:
+    return bool(row["table"] and row["key"]) and all(
+        _is_valid_text(text) for text in _row_name(row)
+    )
+
+
+def _is_valid_text(text: str) -> bool:
+    """Return whether a text can be part of a row's name."""
+    try:
+        return "\0" not in text and len(text.encode()) <= MAX_NAME_BYTES
+    except UnicodeEncodeError:  # a lone surrogate
+        return False
+
+
 def _row_name(row: JsonObject) -> RowName:
     return RowName(row["table"], row.get("part", ""), row["key"])
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -73,6 +73,7 @@
         self.incarnation = 0
         self.is_up = True
         self.is_stalled = False
+        self.reported_usage = 0  # of each run: tail in milliseconds, or millicores
         self._restart_timer: asyncio.Task[None] | None = None
         self._start_incarnation()
 
@@ -238,8 +239,9 @@
                 pass  # no run has ended
         if self.incarnation != incarnation:
             return Reply(421, {})
+        usage = self.reported_usage
         running = [
-            [active_run.task, active_run.run, "", self._progress(active_run), 0]
+            [active_run.task, active_run.run, "", self._progress(active_run), usage]
             for active_run in self.run_by_task.values()
         ]
         return self._reply(
