Leave out rows that the store rejects, and commit all others

Such a transaction is split now until the rows at fault are found. They are counted and logged, all others are stored, and the lease is renewed. A row is judged only beside a transaction without it that is accepted, since the store itself may be at fault (429 and 503 are tried again as before). A job whose progress cannot be stored is shown as failed; its planned runs are not started, as a later holder would not know them.

--- a/savorydale/ownership/lease.py
+++ b/savorydale/ownership/lease.py
@@ -4,6 +4,8 @@
 its previous transaction wrote, and writes the row again. So transactions take effect
 in order, a transaction that is executed late fails its condition, and an entry that has
 lost the lease cannot write any more.
+
+A row that the store does not accept is left out, so that it cannot hold up the others.
 """
 
 import asyncio
@@ -21,7 +23,9 @@
     Conflict,
     NotDone,
     OutcomeUnknown,
+    Rejected,
     RowCondition,
+    RowKey,
     RowStore,
     RowTransaction,
     RowWrite,
@@ -81,13 +85,21 @@
     return EntryIdentity(to_text(vm), to_text(incarnation), to_float(cores))
 
 
+class RejectedWrite(NamedTuple):
+    """A write that the store does not accept, and its reason."""
+
+    write: RowWrite
+    reason: str
+
+
 @dataclasses.dataclass(slots=True)
 class SchedulerLease:
     """The lease while this entry holds it.
 
     ``renewed_at`` is when the latest successful transaction was sent, on the loop's
     clock, and ``suspended_seconds_at_renewal`` is how long the machine had been
-    suspended until then.
+    suspended until then. ``rejected_rows`` were not accepted the last time; their
+    writes are committed after all others.
     """
 
     store: RowStore
@@ -102,6 +114,7 @@
     suspended_seconds_at_renewal: float = dataclasses.field(
         default_factory=suspended_seconds
     )
+    rejected_rows: set[RowKey] = dataclasses.field(default_factory=set)
 
     def is_current(self) -> bool:
         """Return whether no other entry can have acquired the lease meanwhile."""
@@ -112,16 +125,28 @@
         age_seconds = asyncio.get_running_loop().time() - self.renewed_at
         return age_seconds + suspended_seconds() - self.suspended_seconds_at_renewal
 
-    async def commit(self, writes: list[RowWrite]) -> None:
+    async def commit(self, writes: list[RowWrite]) -> list[RejectedWrite]:
         """Write rows and renew the lease, retrying until the outcome is known.
 
+        Returns the writes that the store does not accept; all others are durable.
+
         Raises
         ------
         LeadershipLostError
             If another entry holds the lease.
         """
-        for chunk in _split_writes(writes):
-            await self._commit_chunk(chunk)
+        rejected: list[RejectedWrite] = []
+        for chunk in self._split_writes(writes):
+            rejected += await self._commit_chunk(chunk)
+        return rejected
+
+    def _split_writes(self, writes: list[RowWrite]) -> list[list[RowWrite]]:
+        """Split writes into transactions; rows that were rejected before come last."""
+        if not self.rejected_rows:
+            return _split_writes(writes)
+        accepted = [item for item in writes if item.name not in self.rejected_rows]
+        doubtful = [item for item in writes if item.name in self.rejected_rows]
+        return [*_split_writes(accepted), *([item] for item in doubtful)]
 
     async def release(self, timeout_seconds: float) -> None:
         """Release the lease if the store can be reached in time."""
@@ -145,12 +170,36 @@
         self.version = stored.version
         await self._write(LeaseRow(None, self.epoch, current.sequence + 1), [])
 
-    async def _commit_chunk(self, writes: list[RowWrite]) -> None:
+    async def _commit_chunk(self, writes: list[RowWrite]) -> list[RejectedWrite]:
+        """Commit writes and return those that the store does not accept.
+
+        One write is judged only beside a transaction without it that is accepted, since
+        the store itself may be at fault.
+        """
+        reason = await self._commit_once(writes)
+        if reason is None:
+            self.rejected_rows.difference_update(item.name for item in writes)
+            return []
+        if len(writes) > 1:
+            middle = len(writes) // 2
+            first = await self._commit_chunk(writes[:middle])
+            return first + await self._commit_chunk(writes[middle:])
+        await self._commit_once([])
+        reason = await self._commit_once(writes)
+        if reason is None:
+            self.rejected_rows.discard(writes[0].name)
+            return []
+        self.rejected_rows.add(writes[0].name)
+        return [RejectedWrite(writes[0], reason)]
+
+    async def _commit_once(self, writes: list[RowWrite]) -> str | None:
+        """Commit writes, or return why the store does not accept them."""
         self.sequence += 1
         row = LeaseRow(self.identity, self.epoch, self.sequence)
-        await self._write(row, writes)
+        return await self._write(row, writes)
 
-    async def _write(self, row: LeaseRow, writes: list[RowWrite]) -> None:
+    async def _write(self, row: LeaseRow, writes: list[RowWrite]) -> str | None:
+        """Write rows, or return why the store does not accept ``writes``."""
         transaction = RowTransaction(
             (RowCondition(LEASE_KEY, self.version),),
             (*writes, RowWrite(LEASE_KEY, encode_lease(row))),
@@ -169,11 +218,13 @@
             match outcome:
                 case Committed(version):
                     self._advance(version, sent_at, suspended_seconds_at_send)
-                    return
+                    return None
                 case Conflict(row_by_name):
                     version = self._resolve_conflict(row, row_by_name.get(LEASE_KEY))
                     self._advance(version, sent_at, suspended_seconds_at_send)
-                    return
+                    return None
+                case Rejected(reason) if writes:
+                    return reason
                 case NotDone(reason) | OutcomeUnknown(reason):
                     log.info(
                         "transaction is tried again",
--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -15,6 +15,7 @@
     Conflict,
     NotDone,
     OutcomeUnknown,
+    Rejected,
     RowCondition,
     RowKey,
     RowRange,
@@ -38,6 +39,7 @@
 LONG_POLL_MARGIN_SECONDS = 0.4
 MIN_POLL_TIMEOUT_SECONDS = 1.4  # the store may be slow to answer
 MILLISECONDS_PER_SECOND = 1000
+TRANSIENT_STATUSES = (408, 425, 429, 503)  # the same transaction may succeed later
 MAX_CLOCK_MS = 100_000_000_000_000
 MAX_VERSION = 1_000_000_000_000_000
 UNREADABLE_VALUE = b""
@@ -85,8 +87,10 @@
                 return Committed(version)
             case HttpReply(412, dict(conflict)):
                 return _parse_conflict(conflict)
-            case HttpReply(status=status) if 400 <= status < 500 or status == 503:
+            case HttpReply(status=status) if status in TRANSIENT_STATUSES:
                 return NotDone(f"status {status}: {reply.body}"[:200])
+            case HttpReply(status=status) if 400 <= status < 500:
+                return Rejected(f"status {status}: {reply.body}"[:200])
         return OutcomeUnknown(f"status {reply.status}")
 
     async def read_range(
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -15,7 +15,7 @@
 from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import Configuration
 from savorydale.jobs.progress import JobProgress, Task
-from savorydale.jobs.rows import JOBS_TABLE, JobStatus, cancel_key
+from savorydale.jobs.rows import JOBS_TABLE, STEPS_TABLE, JobStatus, cancel_key
 from savorydale.jobs.tracker import EndEffect
 from savorydale.orders.interface import (
     EndedRun,
@@ -30,7 +30,7 @@
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.ownership.election import RENEWAL_INTERVAL_SECONDS
-from savorydale.ownership.lease import SchedulerLease
+from savorydale.ownership.lease import RejectedWrite, SchedulerLease
 from savorydale.placement.advice import PolicyService, StepName
 from savorydale.queueing.order import objective_seconds
 from savorydale.scheduler.admission import JobAdmission
@@ -536,15 +536,30 @@
             if link.processed_number > link.acknowledged_number
         ]
         started_at = loop.time()
-        await self._lease.commit(writes)
+        rejected = await self._lease.commit(writes)
         self._counters.record_latency("commit", loop.time() - started_at)
-        self._counters.increment("commit.rows", len(writes))
-        self._lapse_record.confirm(recorded, self._state.links)
+        self._counters.increment("commit.rows", len(writes) - len(rejected))
+        for item in rejected:
+            self._handle_rejected_write(item)
+        if LAPSES_KEY not in self._lease.rejected_rows:
+            self._lapse_record.confirm(recorded, self._state.links)
         for link, number, born_ms in acknowledgements:
             link.acknowledge(number, born_ms)
         for start in starts:
             start.link.start(start.run, start.payload, start.checkpoint, start.ticket)
 
+    def _handle_rejected_write(self, rejected: RejectedWrite) -> None:
+        """Log a row that cannot be stored, and schedule no job without its progress."""
+        name = rejected.write.name
+        self._counters.increment("commit.rejected")
+        log.error(
+            "row cannot be stored",
+            extra={"table": name.table, "key": name.key, "reason": rejected.reason},
+        )
+        job_id = name.key.partition(".")[0]
+        if name.table == STEPS_TABLE and job_id in self._state.job_tracker.job_by_id:
+            self.set_aside_job(job_id, f"its progress cannot be stored: {name.key}")
+
     async def _tick_loop(self) -> None:
         """Do periodic work, and plan for changes that raise no event, such as time."""
         loop = asyncio.get_running_loop()
--- a/savorydale/storage/rows.py
+++ b/savorydale/storage/rows.py
@@ -77,6 +77,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected(NotDone):
+    """The store refused the transaction for what it contains; nothing was written."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
     """No response arrived; the transaction may take effect, even later."""
@@ -84,7 +89,7 @@
     reason: str
 
 
-TransactionOutcome = Committed | Conflict | NotDone | OutcomeUnknown
+TransactionOutcome = Committed | Conflict | NotDone | Rejected | OutcomeUnknown
 
 
 class RowStore(Protocol):
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 JsonObject = dict[str, Any]
@@ -33,12 +34,14 @@
 class RowStoreStandin:
     """Versioned rows with conditional transactions and a change feed.
 
-    Transactions run one after the other and take ``transaction_seconds`` each.
+    Transactions run one after the other and take ``transaction_seconds`` each. One that
+    writes a row for which ``find_refusal`` returns a status is refused with it.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.transaction_seconds = 0.0
+        self.find_refusal: Callable[[RowName], int | None] = lambda name: None
         self._busy_until = 0.0
         self.transactions = 0
         self.reads = 0
@@ -102,6 +105,10 @@
             return Reply(400, {"error": "a value is too large"})
         if any(row["table"] in PROTECTED_TABLES for row in [*sets, *removals]):
             return Reply(403, {"error": "not the system's table"})
+        refusals = map(self.find_refusal, map(_row_name, [*sets, *removals]))
+        status = next(filter(None, refusals), None)
+        if status is not None:
+            return Reply(status, {"error": "a row is refused"})
         self.transactions += 1
         names = [_row_name(row) for row in conditions]
         versions = [self._row_by_name.get(name, (b"", 0))[1] for name in names]
