Answer the cancel of an unknown job only when it cannot be created any more

The cancel had only read that there was no job.

A cancel of a job that is not stored now writes a tombstone as the job's state, on the condition that there is none, so a late submission fails on its own condition. Without that write the answer is 504. A submission that is sent again gets 200 and a job that is shown as cancelled.

--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -5,6 +5,7 @@
 ==========  ===================  ==============================================
 jobs        job                  the job as submitted, until it has ended
 jobs        job + ``.cancel``    a request to cancel the job
+jobs        job + ``.tombstone`` notice that the job's state is a tombstone
 states      job                  queue and state, kept after the job has ended
 steps       job.occurrence.step  progress of the tasks of one step
 summaries   queue                jobs of the queue that have not started
@@ -43,6 +44,7 @@
 TAILS_TABLE = "tails"
 SCHEDULER_TABLE = "scheduler"
 CANCEL_SUFFIX = ".cancel"
+TOMBSTONE_SUFFIX = ".tombstone"
 SIGNIFICANT_DIGITS = 6
 KEPT_IMAGES_RATIO = 0.7  # of the images, while a fit is too large for its row
 WAITING_TASK = 0  # in a step's row: a task that has never run
@@ -52,18 +54,23 @@
 
 
 class JobStatus(StrEnum):
-    """State of a job as its submitter sees it."""
+    """State of a job as its submitter sees it.
+
+    A tombstone means that there is no job, and that a submission which is stored late
+    must not create it, since its cancellation has been answered.
+    """
 
     QUEUED = "queued"
     RUNNING = "running"
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    TOMBSTONE = "tombstone"
 
     @property
     def is_terminal(self) -> bool:
-        """Return whether the state is terminal and never changes again."""
-        return self in (self.COMPLETED, self.FAILED, self.CANCELLED)
+        """Return whether a job in this state is never scheduled again."""
+        return self not in (self.QUEUED, self.RUNNING)
 
 
 class JobRow(NamedTuple):
@@ -130,6 +137,11 @@
     return RowKey(JOBS_TABLE, job + CANCEL_SUFFIX)
 
 
+def tombstone_key(job: str) -> RowKey:
+    """Return the key of the notice of a job's tombstone."""
+    return RowKey(JOBS_TABLE, job + TOMBSTONE_SUFFIX)
+
+
 def state_key(job: str) -> RowKey:
     """Return the key of the row with the job's state."""
     return RowKey(STATES_TABLE, job)
--- a/savorydale/jobs/store.py
+++ b/savorydale/jobs/store.py
@@ -24,6 +24,7 @@
     job_key,
     state_key,
     summary_key,
+    tombstone_key,
 )
 from savorydale.storage.response_timeout import ResponseTimeout
 from savorydale.storage.rows import (
@@ -79,9 +80,10 @@
 
 
 class CancelOutcome(NamedTuple):
-    """Whether the job exists, and whether its cancellation request is stored.
+    """Whether the job exists, and whether its cancellation is stored.
 
-    ``is_stored`` is also true for a job that has ended, which needs no request.
+    ``is_stored`` is also true for a job that has ended, which needs no request. If it
+    is true, the job runs no more, also if a submission of it is stored later.
     """
 
     exists: bool
@@ -102,16 +104,11 @@
     async def submit(
         self, job: str, spec: JobSpec, queue: QueueSettings, timeout_seconds: float
     ) -> SubmitOutcome:
-        """Store a job unless it is stored already."""
-        row = JobRow(spec, queue, 0)
-        state = StateRow(queue.name, JobStatus.QUEUED)
-        transaction = RowTransaction(
-            (RowCondition(state_key(job), ABSENT),),
-            (
-                RowWrite(job_key(job), encode_job(row)),
-                RowWrite(state_key(job), encode_state(state)),
-            ),
-        )
+        """Store a job unless it is stored already.
+
+        A job that was cancelled before is stored as cancelled, and never runs.
+        """
+        transaction = submission = _make_submission(job, spec, queue)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
         unknown_reason = ""
@@ -126,8 +123,15 @@
             match await self._transact(transaction, seconds_left):
                 case Committed():
                     return JobAccepted(is_repeat=False)
-                case Conflict():
-                    return JobAccepted(is_repeat=True)
+                case Conflict(row_by_name):
+                    stored = row_by_name.get(state_key(job))
+                    if stored is None and transaction is not submission:
+                        transaction = submission  # the tombstone has expired
+                        continue
+                    if stored is None or not _is_tombstone(stored):
+                        return JobAccepted(is_repeat=True)
+                    transaction = _make_cancelled(stored, queue)
+                    continue
                 case NotDone(reason):
                     refusals += 1
                     if not unknown_reason and refusals >= MAX_REFUSALS:
@@ -154,11 +158,13 @@
         terminal_state = self._terminal_state_by_job.get(job)
         if terminal_state is not None:
             return terminal_state
-        state, _ = await self._read_state(job, timeout_seconds)
+        state, _, _ = await self._read_state(job, timeout_seconds)
+        if state is None or state.status is JobStatus.TOMBSTONE:
+            return None
         return state
 
     async def cancel(self, job: str, timeout_seconds: float) -> CancelOutcome:
-        """Store a cancellation request for a job.
+        """Store a cancellation request for a job, or a tombstone if there is no job.
 
         Raises
         ------
@@ -168,20 +174,23 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
         while True:
-            state, version = await self._read_state(job, deadline - loop.time())
-            if state is None:
-                return CancelOutcome(exists=False, is_stored=False)
-            if state.status.is_terminal:
-                return CancelOutcome(exists=True, is_stored=True)
-            transaction = RowTransaction(
-                (RowCondition(state_key(job), version),),
-                (RowWrite(cancel_key(job), b"1"),),
+            state, version, store_ms = await self._read_state(
+                job, deadline - loop.time()
             )
+            exists = state is not None and state.status is not JobStatus.TOMBSTONE
+            if state is not None and state.status.is_terminal:
+                return CancelOutcome(exists, is_stored=True)
+            transaction = _make_tombstone(job, store_ms)
+            if exists:
+                transaction = RowTransaction(
+                    (RowCondition(state_key(job), version),),
+                    (RowWrite(cancel_key(job), b"1"),),
+                )
             outcome = await self._transact(transaction, deadline - loop.time())
             if isinstance(outcome, Committed):
-                return CancelOutcome(exists=True, is_stored=True)
+                return CancelOutcome(exists, is_stored=True)
             if loop.time() + RETRY_DELAY_SECONDS >= deadline:
-                return CancelOutcome(exists=True, is_stored=False)
+                return CancelOutcome(exists, is_stored=False)
             # A conflict means that the state changed, so it is read again at once.
             if not isinstance(outcome, Conflict):
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
@@ -222,15 +231,16 @@
 
     async def _read_state(
         self, job: str, timeout_seconds: float
-    ) -> tuple[StateRow | None, int]:
+    ) -> tuple[StateRow | None, int, int]:
+        """Return the state of a job, its version, and the time on the store's clock."""
         deadline = asyncio.get_running_loop().time() + timeout_seconds
-        stored, _ = await self._read_row(state_key(job), deadline)
+        stored, page = await self._read_row(state_key(job), deadline)
         if stored is None or stored.value is None:
-            return None, ABSENT
+            return None, ABSENT, page.now_ms
         state = decode_state(stored.value)
-        if state.status.is_terminal:
+        if state.status.is_terminal and state.status is not JobStatus.TOMBSTONE:
             self._cache_terminal_state(job, state)
-        return state, stored.version
+        return state, stored.version, page.now_ms
 
     def _cache_terminal_state(self, job: str, state: StateRow) -> None:
         self._terminal_state_by_job[job] = state
@@ -272,3 +282,46 @@
         )
         return False
     return state.queue == queue and state.status is JobStatus.QUEUED
+
+
+def _make_submission(job: str, spec: JobSpec, queue: QueueSettings) -> RowTransaction:
+    row = JobRow(spec, queue, 0)
+    state = StateRow(queue.name, JobStatus.QUEUED)
+    return RowTransaction(
+        (RowCondition(state_key(job), ABSENT),),
+        (
+            RowWrite(job_key(job), encode_job(row)),
+            RowWrite(state_key(job), encode_state(state)),
+        ),
+    )
+
+
+def _make_cancelled(tombstone: StoredRow, queue: QueueSettings) -> RowTransaction:
+    """Return a transaction that shows a job with a tombstone as cancelled."""
+    ended_ms = decode_state(tombstone.value or b"").ended_ms
+    state = StateRow(queue.name, JobStatus.CANCELLED, ended_ms)
+    return RowTransaction(
+        (RowCondition(tombstone.name, tombstone.version),),
+        (RowWrite(tombstone.name, encode_state(state)),),
+    )
+
+
+def _is_tombstone(row: StoredRow) -> bool:
+    try:
+        return decode_state(row.value or b"").status is JobStatus.TOMBSTONE
+    except RowFormatError as error:
+        log.warning(
+            "state cannot be read", extra={"job": row.name.key, "reason": str(error)}
+        )
+        return False
+
+
+def _make_tombstone(job: str, store_ms: int) -> RowTransaction:
+    state = StateRow("", JobStatus.TOMBSTONE, store_ms)
+    return RowTransaction(
+        (RowCondition(state_key(job), ABSENT),),
+        (
+            RowWrite(state_key(job), encode_state(state)),
+            RowWrite(tombstone_key(job), b"1"),
+        ),
+    )
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -217,11 +217,11 @@
             "job cancel requested",
             extra={"job": job_request.job, "outcome": repr(outcome)},
         )
+        if not outcome.is_stored:
+            return self._respond(504, "outcome_unknown", {"error": "not known"})
         if not outcome.exists:
             return self._respond(410, "no_job", {"error": "no such job"})
-        if outcome.is_stored:
-            return self._respond(200, "cancelled", {})
-        return self._respond(504, "outcome_unknown", {"error": "not known"})
+        return self._respond(200, "cancelled", {})
 
     async def _count(self, job_request: JobRequest) -> web.Response:
         pending = await self._job_store.count_pending(
--- a/savorydale/scheduler/job_feed.py
+++ b/savorydale/scheduler/job_feed.py
@@ -3,7 +3,7 @@
 import logging
 from typing import Protocol
 
-from savorydale.jobs.rows import CANCEL_SUFFIX
+from savorydale.jobs.rows import CANCEL_SUFFIX, TOMBSTONE_SUFFIX
 from savorydale.storage.rows import StoredRow
 
 log = logging.getLogger(__name__)
@@ -18,6 +18,9 @@
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job."""
 
+    def record_tombstone(self, job_id: str) -> None:
+        """Record that a job was cancelled before it was stored."""
+
     def set_aside_job(self, job_id: str, reason: str) -> None:
         """Show a job as failed and schedule it no more."""
 
@@ -44,13 +47,13 @@
             try:
                 if key.endswith(CANCEL_SUFFIX):
                     self._handler.cancel_job(key.removesuffix(CANCEL_SUFFIX))
+                elif key.endswith(TOMBSTONE_SUFFIX):
+                    self._handler.record_tombstone(key.removesuffix(TOMBSTONE_SUFFIX))
                 else:
                     self._handler.add_job(row)
             except Exception as error:
                 log.exception("job row cannot be applied", extra={"key": key})
-                self._handler.set_aside_job(
-                    key.removesuffix(CANCEL_SUFFIX), repr(error)
-                )
+                self._handler.set_aside_job(key.partition(".")[0], repr(error))
 
     def record_response(self, store_ms: int) -> None:
         """Pass on the time of the store."""
--- a/savorydale/scheduler/takeover.py
+++ b/savorydale/scheduler/takeover.py
@@ -13,6 +13,7 @@
     STATES_TABLE,
     STEPS_TABLE,
     TAILS_TABLE,
+    TOMBSTONE_SUFFIX,
     JobStatus,
     decode_state,
     decode_step,
@@ -26,6 +27,7 @@
 from savorydale.storage.rows import RowRange, RowStore, StoredRow, read_row
 
 LOAD_TIMEOUT_SECONDS = 4.0
+CANCELLATION_SUFFIXES = (CANCEL_SUFFIX, TOMBSTONE_SUFFIX)
 ROWS_PER_YIELD = 20
 MILLISECONDS_PER_SECOND = 1000
 
@@ -36,9 +38,10 @@
     """What a new lease holder has loaded, besides the scheduler's state.
 
     ``runs_by_worker`` are the runs that workers may hold. ``cancellations`` are the
-    requests to cancel jobs; ``jobs_version`` is the version after which the jobs table
-    must be followed. ``store_clock_offset_ms`` is the store's clock minus the loop's.
-    ``lapse_record`` tells when the leases of silent workers lapse.
+    requests to cancel jobs, and the notices of tombstones; ``jobs_version`` is the
+    version after which the jobs table must be followed. ``store_clock_offset_ms`` is
+    the store's clock minus the loop's. ``lapse_record`` tells when the leases of silent
+    workers lapse.
     """
 
     runs_by_worker: dict[str, list[Run]]
@@ -71,11 +74,11 @@
     store_ms = jobs.now_ms
     status_by_job, unreadable_states = _load_states(state, states.rows)
     cancellations = tuple(
-        row for row in jobs.rows if row.name.key.endswith(CANCEL_SUFFIX)
+        row for row in jobs.rows if row.name.key.endswith(CANCELLATION_SUFFIXES)
     )
     async for row in _yielding_to_loop(jobs.rows):
         job = row.name.key
-        if job.endswith(CANCEL_SUFFIX):
+        if job.endswith(CANCELLATION_SUFFIXES):
             continue
         if job in unreadable_states:
             admission.set_aside(job, "its state cannot be read", store_ms)
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -13,9 +13,15 @@
 
 from savorydale.counters import Counters
 from savorydale.exceptions import StoreUnreachableError
-from savorydale.jobs.model import Configuration
+from savorydale.jobs.model import JOB_ID, Configuration
 from savorydale.jobs.progress import JobProgress, Task
-from savorydale.jobs.rows import JOBS_TABLE, STEPS_TABLE, JobStatus, cancel_key
+from savorydale.jobs.rows import (
+    JOBS_TABLE,
+    STEPS_TABLE,
+    JobStatus,
+    cancel_key,
+    tombstone_key,
+)
 from savorydale.jobs.tracker import EndEffect
 from savorydale.orders.interface import (
     EndedRun,
@@ -461,6 +467,15 @@
         self._state.job_tracker.remove_if_idle(job)
         self.wake()
 
+    def record_tombstone(self, job_id: str) -> None:
+        """Delete the notice of a tombstone; the tombstone expires as an ended job."""
+        if not JOB_ID.match(job_id):
+            log.error("tombstone is ignored", extra={"job": job_id})
+            return
+        self._state.ended_ms_by_job.setdefault(job_id, int(self._store_now_ms()))
+        self._state.write(tombstone_key(job_id), None)
+        self.wake()
+
     def _finish(self, job: JobProgress, status: JobStatus) -> None:
         self._state.job_tracker.finish(job, status, int(self._store_now_ms()))
         self._state.ended_ms_by_job[job.id] = int(self._store_now_ms())
--- a/savorydale/tests/platform/frontend_tests.py
+++ b/savorydale/tests/platform/frontend_tests.py
@@ -12,7 +12,13 @@
 from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.jobs.store import JobStore
 from savorydale.platform.frontend import Frontend
-from savorydale.storage.rows import Committed, Conflict, NotDone, OutcomeUnknown
+from savorydale.storage.rows import (
+    Committed,
+    Conflict,
+    NotDone,
+    OutcomeUnknown,
+    RowRange,
+)
 
 QUEUE = QueueSettings("q", "desk.example", "/q/", "desk")
 JOB = "0123456789abcdef"
@@ -185,3 +191,26 @@
 
 def test_deadline_that_cannot_be_read_is_replaced_by_the_default():
     assert submit(ScriptedStore(Committed(1)), deadline_ms="9" * 5000)[0] == 200
+
+
+class StoreWithoutRows(ScriptedStore):
+    """Has no rows; its transactions have scripted outcomes."""
+
+    async def read_range(self, table, start="", end="", *, timeout_seconds):
+        return RowRange((), 1, 1)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [(Committed(1), 410), (OutcomeUnknown("x"), 504), (NotDone("x"), 504)],
+)
+def test_cancel_of_an_unknown_job_is_answered_once_nothing_can_create_it(
+    outcome, status
+):
+    """Guards against a 410 for a job that a late submission creates afterwards."""
+
+    async def run():
+        async with open_frontend(StoreWithoutRows(outcome)) as call:
+            return (await call("DELETE", f"/q/{JOB}"))[0]
+
+    assert asyncio.run(run()) == status
