Wait for the leases of earlier holders no longer than they can last

Callers saw tasks of a service away for 9.4 to 9.55 s (9 s are allowed) if their worker and the lease holder were lost together. A new holder that a worker never answers counts the longest lease from its own beginning and a margin of 1 s, since the earlier holder extended leases for 0.8 s longer than it was sure to hold the lease. Now it does so for 0.1 s, after that only while most workers obey it, and the margin is 0.3 s.

--- a/savorydale/orders/lease_clock.py
+++ b/savorydale/orders/lease_clock.py
@@ -4,7 +4,7 @@
 
 MAX_CLOCK_DRIFT = 0.02  # a worker's steady clock may run slow by this fraction
 LAPSE_MARGIN_SECONDS = 0.2
-UNKNOWN_CLOCK_MARGIN_SECONDS = 1.0
+EARLIER_HOLDER_MARGIN_SECONDS = 0.3  # its last extensions, and the worker's clock
 MAX_EXTENSION_SECONDS = 2.0  # after the last response of the worker
 MILLISECONDS_PER_SECOND = 1000
 
@@ -20,7 +20,7 @@
         self._lease_end_ms = 0
         self._earlier_lapse_at = self._created_at + (
             lease_max_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
-            + UNKNOWN_CLOCK_MARGIN_SECONDS
+            + EARLIER_HOLDER_MARGIN_SECONDS
         )
 
     def limit_earlier_leases(self, lapse_at: float) -> None:
--- a/savorydale/orders/lease_extension.py
+++ b/savorydale/orders/lease_extension.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from savorydale.orders.lease_clock import UNKNOWN_CLOCK_MARGIN_SECONDS
+from savorydale.orders.lease_clock import EARLIER_HOLDER_MARGIN_SECONDS
 from savorydale.orders.renewal_wait import MAX_WAIT_MS
 from savorydale.ownership.lease import LEASE_SECONDS
 
@@ -23,8 +23,8 @@
 VERDICT_SECONDS = 0.1  # a large fleet is not counted for each renewal
 # A new holder begins `LEASE_SECONDS` after the last transaction of this entry at the
 # earliest. It counts the longest lease from then on, and a margin.
-GRACE_SECONDS = UNKNOWN_CLOCK_MARGIN_SECONDS - 2 * VERDICT_SECONDS
-MAX_CONTACT_AGE_SECONDS = LEASE_SECONDS + GRACE_SECONDS
+GRACE_SECONDS = EARLIER_HOLDER_MARGIN_SECONDS - 2 * VERDICT_SECONDS
+MAX_CONTACT_AGE_SECONDS = 2.8  # of answers that count; renewals in doubt wait for 1 s
 
 
 class Witness(Protocol):
--- a/savorydale/tests/lease_extension_tests.py
+++ b/savorydale/tests/lease_extension_tests.py
@@ -17,6 +17,7 @@
 
 LEASE_SECONDS = LEASE_MAX_MS / 1000
 OUTAGE_SECONDS = 20.0
+SLOWEST_CLOCK_RATE = 0.98  # of a worker's clock
 WAITS_MS = [MIN_WAIT_MS, MAX_WAIT_MS]
 
 
@@ -65,6 +66,28 @@
     assert is_allowed([Witness(None)], seconds_since_commit=1.0)
 
 
+def test_answer_of_the_store_counts_until_another_entry_could_have_begun():
+    """A next holder counts the longest lease from its beginning, and little more."""
+    assert is_allowed([Witness(None)], seconds_since_commit=2.0)
+    assert not is_allowed([Witness(None)], seconds_since_commit=2.2)
+
+
+@pytest.mark.parametrize("offset_seconds", [number / 10 for number in range(11)])
+def test_cut_off_holder_and_the_next_one_agree_on_a_slow_clock(offset_seconds):
+    """Guards against a next holder that does not wait for a lease on a slow clock."""
+
+    @on_virtual_time
+    async def run():
+        async with recovering() as recovery:
+            for worker in recovery.branch.worker_by_name.values():
+                worker.clock_rate = SLOWEST_CLOCK_RATE
+            await asyncio.sleep(5.0 + offset_seconds)
+            with recovery.disturbances.disturbed():
+                await cut_off_with(recovery, ["w0"])
+
+    run()
+
+
 @pytest.mark.parametrize("near_workers", [["w0"], ["w0", "w1"]], ids=["one", "half"])
 @pytest.mark.parametrize("wait_ms", WAITS_MS)
 @pytest.mark.parametrize("offset_seconds", [0.0, 0.3, 0.7, 1.1, 1.6])
