--- a/savorydale/tests/service_recovery_tests.py
+++ b/savorydale/tests/service_recovery_tests.py
@@ -11,6 +11,7 @@
 from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import StepSpec
 from savorydale.orders.interface import Unanswered
+from savorydale.tests import branch as branch_module
 from savorydale.tests.branch import LEASE_MAX_MS, STORE_LATENCY_SECONDS
 from savorydale.tests.frozen_entries import slow_down
 from savorydale.tests.harness import on_virtual_time
@@ -383,3 +384,28 @@
             recovery.set_store_faults([holder], is_partitioned=False)
             recovery.cut_workers([holder], far_workers, is_cut=False)
             recovery.cut_workers([other], ["w0"], is_cut=False)
+
+
+@pytest.mark.parametrize("is_silent", [False, True], ids=["refusing", "silent"])
+@pytest.mark.parametrize(
+    ("lease_max_ms", "seconds"),
+    [(6_000, 0.0), (10_000, 0.0), (10_000, 0.5), (10_000, 2.0), (30_000, 0.1)],
+)
+def test_tasks_are_back_if_worker_and_holder_are_lost_on_a_platform_with_long_leases(
+    lease_max_ms, is_silent, seconds, monkeypatch
+):
+    """Guards against a new holder that waits for as long as the platform allows."""
+    monkeypatch.setattr(branch_module, "LEASE_MAX_MS", lease_max_ms)
+
+    @on_virtual_time
+    async def run():
+        async with recovering() as recovery:
+            worker = recovery.branch.worker_by_name["w0"]
+            with recovery.disturbances.disturbed():
+                recovery.cut_workers(recovery.entries, ["w0"], is_cut=is_silent)
+                worker.crash(restarts=False)
+                recovery.branch.store.delete("servers", "w0")
+                await asyncio.sleep(seconds)
+                await recovery.branch.kill_entry(recovery.holder)
+
+    run()
