Leave checkpoints out of a row that would be too long

With 1,000 tasks and checkpoints of 100 bytes the row had 126,001 bytes. Such a row is stored without checkpoints. Tasks keep theirs until a takeover; those that must run again after it start from the beginning.

--- a/savorydale/jobs/rows.py
+++ b/savorydale/jobs/rows.py
@@ -45,6 +45,7 @@
 SCHEDULER_TABLE = "scheduler"
 CANCEL_SUFFIX = ".cancel"
 TOMBSTONE_SUFFIX = ".tombstone"
+MAX_ROW_BYTES = 65_536  # if nothing else is set
 SIGNIFICANT_DIGITS = 6
 KEPT_IMAGES_RATIO = 0.7  # of the images, while a fit is too large for its row
 WAITING_TASK = 0  # in a step's row: a task that has never run
@@ -230,12 +231,17 @@
         raise RowFormatError(f"invalid state row: {error!r}") from error
 
 
-def encode_step(rows: list[TaskRow]) -> bytes:
+def encode_step(rows: list[TaskRow], max_bytes: int = MAX_ROW_BYTES) -> bytes:
     """Encode the progress of a step, one item per task.
 
     The row is written at each start and end, so the two most common items are short.
+    If it is longer than ``max_bytes``, checkpoints are left out: after a takeover, the
+    tasks that must run again then start from the beginning.
     """
-    return _dump([_encode_task(row) for row in rows])
+    value = _dump([_encode_task(row) for row in rows])
+    if len(value) <= max_bytes:
+        return value
+    return _dump([_encode_task(row._replace(checkpoint="")) for row in rows])
 
 
 def _encode_task(row: TaskRow) -> list[Any] | int:
--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -11,6 +11,7 @@
 from savorydale.jobs.model import TaskId
 from savorydale.jobs.progress import JobProgress, StepProgress, Task
 from savorydale.jobs.rows import (
+    MAX_ROW_BYTES,
     JobRow,
     JobStatus,
     StateRow,
@@ -41,7 +42,8 @@
     ``suspect_by_id`` holds the tasks that may have crashed a worker.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_row_bytes: int = MAX_ROW_BYTES) -> None:
+        self._max_row_bytes = max_row_bytes
         self.job_by_id: dict[str, JobProgress] = {}
         self.suspect_by_id: dict[TaskId, Task] = {}
         self._changed_steps: dict[RowKey, StepProgress] = {}
@@ -207,7 +209,12 @@
     def take_changes(self) -> list[RowWrite]:
         """Return the rows to write and clear the list of changes."""
         writes = [
-            RowWrite(key, encode_step([task.to_row() for task in step.tasks]))
+            RowWrite(
+                key,
+                encode_step(
+                    [task.to_row() for task in step.tasks], self._max_row_bytes
+                ),
+            )
             for key, step in self._changed_steps.items()
         ]
         writes += [
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from savorydale.jobs.rows import MAX_ROW_BYTES
 from savorydale.jobs.tracker import JobTracker
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import AdviceCache
@@ -28,8 +29,8 @@
     ``ended_ms_by_job`` holds when jobs ended on the store's clock, the oldest first.
     """
 
-    def __init__(self) -> None:
-        self.job_tracker = JobTracker()
+    def __init__(self, max_row_bytes: int = MAX_ROW_BYTES) -> None:
+        self.job_tracker = JobTracker(max_row_bytes)
         self.link_by_worker: dict[str, WorkerLink] = {}
         self.colocation = Colocation()
         self.batch_demand = BatchTaskDemand()
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -95,7 +95,7 @@
         read_configuration: Callable[[], Configuration | None],
         policy: PolicyService | None = None,
     ):
-        self._state = SchedulerState()
+        self._state = SchedulerState(timing.max_row_bytes)
         self._admission = JobAdmission(self._state, counters)
         self._store = store
         self._orders = orders
