Count no workers that have left in the report of waiting tasks

The line says "no_capacity" now. The reason is for the log and the counters only.

Before: the new case of test_reason_of_a_refusal_is_logged failed. After: it passes.

--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -255,11 +255,15 @@
 def links_with_capacity(
     state: SchedulerState, service: str, spec: StepSpec
 ) -> list[WorkerLink]:
-    """Return the links to workers that have capacity for a task, and its label."""
+    """Return the links to workers that have capacity for a task, and its label.
+
+    Workers that have left are not counted.
+    """
     return [
         link
         for link in state.links
-        if link.info.service == service
+        if not link.is_closed
+        and link.info.service == service
         and link.load.fits(spec)
         and spec.required_label in ("", *link.info.labels)
     ]
--- a/savorydale/tests/scheduler/waiting_tests.py
+++ b/savorydale/tests/scheduler/waiting_tests.py
@@ -103,6 +103,11 @@
     fixture.submit(JOB, SERVICE)
 
 
+def leave(fixture):
+    link_of(fixture).is_closed = True
+    unregister(fixture)
+
+
 def quarantine(fixture):
     fixture.state.health_of("w0").quarantine_ends_at = 1e9
     fixture.submit(JOB, SERVICE)
@@ -142,6 +147,7 @@
         (demand_headroom, "headroom_for_batch"),
         (drain, "workers_draining"),
         (unregister, "workers_not_registered"),
+        (leave, "no_capacity"),
         (quarantine, "workers_quarantined"),
         (hold_for_a_suspect, "workers_held_for_suspects"),
         (be_a_suspect, "suspect_waits_for_isolation"),
