--- a/savorydale/jobs/store.py
+++ b/savorydale/jobs/store.py
@@ -285,6 +285,7 @@
 
 
 def _make_submission(job: str, spec: JobSpec, queue: QueueSettings) -> RowTransaction:
+    """Return a transaction that stores a job unless it has a state."""
     row = JobRow(spec, queue, 0)
     state = StateRow(queue.name, JobStatus.QUEUED)
     return RowTransaction(
@@ -317,6 +318,10 @@
 
 
 def _make_tombstone(job: str, store_ms: int) -> RowTransaction:
+    """Return a transaction that keeps late submissions of a job from taking effect.
+
+    ``store_ms`` is the time on the store's clock.
+    """
     state = StateRow("", JobStatus.TOMBSTONE, store_ms)
     return RowTransaction(
         (RowCondition(state_key(job), ABSENT),),
--- a/savorydale/scheduler/job_feed.py
+++ b/savorydale/scheduler/job_feed.py
@@ -53,7 +53,8 @@
                     self._handler.add_job(row)
             except Exception as error:
                 log.exception("job row cannot be applied", extra={"key": key})
-                self._handler.set_aside_job(key.partition(".")[0], repr(error))
+                job_id = key.removesuffix(CANCEL_SUFFIX)
+                self._handler.set_aside_job(job_id, repr(error))
 
     def record_response(self, store_ms: int) -> None:
         """Pass on the time of the store."""
