--- a/savorydale/orders/lease_clock.py
+++ b/savorydale/orders/lease_clock.py
@@ -2,9 +2,6 @@
 
 import asyncio
 
-# A task whose worker and lease holder are lost together waits for the whole lease. A
-# shorter lease would end the runs of workers that are cut off for some seconds.
-MAX_LEASE_SECONDS = 6.0
 MAX_CLOCK_DRIFT = 0.02  # a worker's steady clock may run slow by this fraction
 LAPSE_MARGIN_SECONDS = 0.2
 EARLIER_HOLDER_MARGIN_SECONDS = 0.3  # its last extensions, and the worker's clock
@@ -13,19 +10,16 @@
 
 
 class LeaseClock:
-    """Tracks a worker's steady clock and the latest lease end that was requested.
-
-    Leases are as long as the platform allows, but at most `MAX_LEASE_SECONDS`.
-    """
+    """Tracks a worker's steady clock and the latest lease end that was requested."""
 
     def __init__(self, lease_max_ms: float):
-        self._lease_ms = min(lease_max_ms, MAX_LEASE_SECONDS * MILLISECONDS_PER_SECOND)
+        self._lease_max_ms = lease_max_ms
         self._created_at = asyncio.get_running_loop().time()
         self._clock_ms: int | None = None
         self._clock_read_at = 0.0
         self._lease_end_ms = 0
         self._earlier_lapse_at = self._created_at + (
-            self._lease_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
+            lease_max_ms / MILLISECONDS_PER_SECOND / (1 - MAX_CLOCK_DRIFT)
             + EARLIER_HOLDER_MARGIN_SECONDS
         )
 
@@ -54,7 +48,7 @@
         elapsed_seconds = asyncio.get_running_loop().time() - self._clock_read_at
         elapsed_seconds = min(elapsed_seconds, MAX_EXTENSION_SECONDS)
         clock_ms = self._clock_ms + elapsed_seconds * MILLISECONDS_PER_SECOND
-        end_ms = int(clock_ms + self._lease_ms)
+        end_ms = int(clock_ms + self._lease_max_ms)
         self._lease_end_ms = max(self._lease_end_ms, end_ms)
         return end_ms
 
