Tell quarantines for failures and for stalled runs apart in the log

Cause: 'worker is quarantined' was logged for failures only; a quarantine for stalled runs had a counter, and 'task waits' showed both as workers_quarantined. Change: the line is logged for stalls too, with the number of runs, the stalled ones and for how long; the reason workers_stalled is one of its own; 'task waits' counts the workers with capacity by obstacle. No decision changes. Tests: waiting_tests.py[stall] and a test of the line, new; 298 tests of scheduler, placement, logs and explain pass.

--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -24,10 +24,15 @@
 
 @dataclasses.dataclass(slots=True)
 class WorkerHealth:
-    """Failures and quarantine of one worker; times are on the loop's clock."""
+    """Failures and quarantine of one worker; times are on the loop's clock.
+
+    ``stall_ends_at`` is when a quarantine because of stalled runs ends, and
+    ``quarantine_ends_at`` one because of failures.
+    """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
     quarantine_ends_at: float = 0.0
+    stall_ends_at: float = 0.0
     suspicion: float = 0.0
     suspicion_updated_at: float = 0.0
 
@@ -50,15 +55,17 @@
 
     def on_stall(self, now: float) -> bool:
         """Record that runs are stalled; return whether a quarantine begins."""
-        begins = now >= self.quarantine_ends_at
-        self.quarantine_ends_at = max(
-            self.quarantine_ends_at, now + STALL_QUARANTINE_SECONDS
-        )
+        begins = not self.is_quarantined(now)
+        self.stall_ends_at = now + STALL_QUARANTINE_SECONDS
         return begins
 
     def is_quarantined(self, now: float) -> bool:
         """Return whether the worker is given no new tasks."""
-        return now < self.quarantine_ends_at
+        return now < self.quarantine_ends_at or self.is_stalled(now)
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the worker is quarantined because its runs are stalled."""
+        return now < self.stall_ends_at
 
     def suspicion_now(self, now: float) -> float:
         """Return the suspicion from recent failures, which decays exponentially."""
--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -149,10 +149,29 @@
             if not stalled:
                 continue
             if self._state.health_of(link.worker).on_stall(now):
-                self._counters.increment("worker.stalled")
+                self._record_stall(link, stalled, reported_at)
             for run in stalled:
                 self._move(link, run, "the run makes no progress")
 
+    def _record_stall(
+        self, link: WorkerLink, stalled: list[Run], reported_at: float
+    ) -> None:
+        self._counters.increment("worker.stalled")
+        progressed_at = min(
+            max(run.confirmed_at, run.progressed_at, run.throttled_at)
+            for run in stalled
+        )
+        log.warning(
+            "worker is quarantined",
+            extra={
+                "worker": link.worker,
+                "reason": "runs make no progress",
+                "runs": len(link.run_by_task),
+                "stalled": len(stalled),
+                "longest": round(reported_at - progressed_at, 3),
+            },
+        )
+
     def _move(self, link: WorkerLink, run: Run, reason: str) -> None:
         log.info(
             "run is moved",
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -21,6 +21,10 @@
     NOT_REGISTERED = "not_registered"
     OUT_OF_CONTACT = "out_of_contact"
     QUARANTINED = "quarantined"
+    STALLED = "stalled"
+
+
+QUARANTINE_OBSTACLES = (WorkerObstacle.QUARANTINED, WorkerObstacle.STALLED)
 
 
 class SchedulerState:
@@ -75,9 +79,9 @@
             if link.info.service != service:
                 continue
             obstacle = self.find_obstacle(link, now)
-            if obstacle is WorkerObstacle.QUARANTINED:
+            if obstacle in QUARANTINE_OBSTACLES:
                 quarantined.add(link.worker)
-            if obstacle in (None, WorkerObstacle.QUARANTINED):
+            if obstacle in (None, *QUARANTINE_OBSTACLES):
                 available.append(link)
         if must_ignore_quarantine(len(quarantined), len(available)):
             quarantined.clear()
@@ -101,6 +105,9 @@
             return WorkerObstacle.NOT_REGISTERED
         if not link.is_in_contact(now):
             return WorkerObstacle.OUT_OF_CONTACT
-        if self.health_of(link.worker).is_quarantined(now):
+        health = self.health_of(link.worker)
+        if health.is_stalled(now):
+            return WorkerObstacle.STALLED
+        if health.is_quarantined(now):
             return WorkerObstacle.QUARANTINED
         return None
--- a/savorydale/scheduler/wait_report.py
+++ b/savorydale/scheduler/wait_report.py
@@ -95,7 +95,9 @@
         step, task, decision, seconds, worker = absence
         service = self._service_of(step.job.queue)
         links = links_with_capacity(self._state, service, step.spec)
-        usable = [link for link in links if not self._state.find_obstacle(link, now)]
+        obstacles = collections.Counter(
+            str(self._state.find_obstacle(link, now) or "none") for link in links
+        )
         log.info(
             "task waits",
             extra={
@@ -113,7 +115,8 @@
                 "epoch": self._epoch,
                 "fits": bool(links),
                 "workers_with_capacity": len(links),
-                "workers_usable": len(usable),
+                "workers_usable": obstacles["none"],
+                "obstacles": dict(obstacles),
             },
         )
 
--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -40,6 +40,7 @@
     WORKERS_NOT_REGISTERED = "workers_not_registered"
     WORKERS_OUT_OF_CONTACT = "workers_out_of_contact"
     WORKERS_QUARANTINED = "workers_quarantined"
+    WORKERS_STALLED = "workers_stalled"
     LABEL = "label"
     LIMIT_PER_WORKER = "limit_per_worker"
     HELD_FOR_SUSPECTS = "workers_held_for_suspects"
@@ -59,6 +60,7 @@
     WorkerObstacle.NOT_REGISTERED: WaitReason.WORKERS_NOT_REGISTERED,
     WorkerObstacle.OUT_OF_CONTACT: WaitReason.WORKERS_OUT_OF_CONTACT,
     WorkerObstacle.QUARANTINED: WaitReason.WORKERS_QUARANTINED,
+    WorkerObstacle.STALLED: WaitReason.WORKERS_STALLED,
 }
 
 
--- a/savorydale/tests/scheduler/starved_backfill_tests.py
+++ b/savorydale/tests/scheduler/starved_backfill_tests.py
@@ -46,3 +46,11 @@
 @on_virtual_time
 async def test_worker_that_has_unused_cpu_is_quarantined():
     assert await is_quarantined(1000)
+
+
+@on_virtual_time
+async def test_quarantine_because_of_stalled_runs_is_logged(caplog):
+    assert await is_quarantined(1000)
+    [line] = [each for each in caplog.records if each.msg == "worker is quarantined"]
+    assert line.reason == "runs make no progress"
+    assert (line.runs, line.stalled) == (3, 1)
--- a/savorydale/tests/scheduler/waiting_tests.py
+++ b/savorydale/tests/scheduler/waiting_tests.py
@@ -113,6 +113,11 @@
     fixture.submit(JOB, SERVICE)
 
 
+def stall(fixture):
+    fixture.state.health_of("w0").stall_ends_at = 1e9
+    fixture.submit(JOB, SERVICE)
+
+
 def hold_for_a_suspect(fixture):
     suspect(fixture, fixture.submit("s", SERVICE))
     clear_runs(fixture, "w0")
@@ -149,6 +154,7 @@
         (unregister, "workers_not_registered"),
         (leave, "no_capacity"),
         (quarantine, "workers_quarantined"),
+        (stall, "workers_stalled"),
         (hold_for_a_suspect, "workers_held_for_suspects"),
         (be_a_suspect, "suspect_waits_for_isolation"),
         (wait_for_ticket, "waits_for_ticket"),
