Quarantine a worker only if it clearly fails more than others

Cause: a worker was quarantined for 4 s once tasks of two jobs in a row had failed on it. A worker that ends some 30 tasks a second, a few per cent of which fail for reasons of their own, soon shows that: a verdict from too few observations, without a look at what fails elsewhere. Change: each end of a run feeds a sequential test (CUSUM) of whether its worker fails clearly more than the other workers of its service do at that time. A sound worker is left out once in a million ends; one that fails everything after some five failures of different jobs, and again sooner after its quarantine. The log line names the share elsewhere. Why it works: many failures of tasks raise the share on all workers, and successes between two failures speak for the worker.

--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -1,16 +1,27 @@
 """Quarantine workers that fail or stall their tasks, though they report no problem.
 
-A worker on which tasks of several jobs fail in a row, or whose runs make no progress
-although they should, is given no new tasks for some time.
+A worker that clearly fails more tasks than the other workers of its service do, or
+whose runs make no progress although they should, is given no new tasks for some time.
+
+Failures are judged by a sequential test (CUSUM): each end of a run adds the logarithm
+of how much likelier it is on a faulty worker than on a sound one, and the sum never
+falls below zero. A sound worker fails as many tasks as the others do now.
 """
 
 import dataclasses
+import math
 
 from savorydale.orders.interface import EndedRun, EndReason
 from savorydale.orders.runs import Run, RunState
 
 MILLISECONDS_PER_SECOND = 1000
-JOBS_FAILED_BEFORE_QUARANTINE = 2
+FAULTY_FAILURE_RATIO = 0.8  # share of the runs on a faulty worker that fail, or more
+MIN_SOUND_FAILURE_RATIO = 0.02
+MAX_SOUND_FAILURE_RATIO = 0.6  # so that a failure always speaks against its worker
+ENDS_PER_FALSE_QUARANTINE = 1_000_000  # of a sound worker, on average
+QUARANTINE_EVIDENCE = math.log(ENDS_PER_FALSE_QUARANTINE)
+# A worker that fails again after its quarantine is quarantined sooner.
+EVIDENCE_AFTER_QUARANTINE = QUARANTINE_EVIDENCE / 2
 FAILURE_QUARANTINE_SECONDS = 4.0
 STALL_QUARANTINE_SECONDS = 1.5
 STALL_SECONDS = 1.2  # more than two reports without any progress
@@ -26,30 +37,53 @@
 class WorkerHealth:
     """Failures and quarantine of one worker; times are on the loop's clock.
 
-    ``stall_ends_at`` is when a quarantine because of stalled runs ends, and
-    ``quarantine_ends_at`` one because of failures.
+    ``evidence`` is the sum of the sequential test; each job in ``failed_jobs`` counts
+    once, since its tasks may fail anywhere. ``stall_ends_at`` is when a quarantine
+    because of stalled runs ends, and ``quarantine_ends_at`` one because of failures.
     """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    evidence: float = 0.0
     quarantine_ends_at: float = 0.0
     stall_ends_at: float = 0.0
     suspicion: float = 0.0
     suspicion_updated_at: float = 0.0
 
-    def on_end(self, end: EndedRun, now: float) -> bool:
-        """Record the end of a run; return whether a quarantine begins."""
-        if end.reason is EndReason.DONE:
+    def on_end(self, end: EndedRun, failure_ratio_elsewhere: float, now: float) -> bool:
+        """Record the end of a run; return whether a quarantine begins.
+
+        ``failure_ratio_elsewhere`` is the share of runs that fail on other workers.
+        """
+        sound_ratio = min(
+            max(failure_ratio_elsewhere, MIN_SOUND_FAILURE_RATIO),
+            MAX_SOUND_FAILURE_RATIO,
+        )
+        match end.reason:
+            case EndReason.DONE:
+                self._on_done(sound_ratio)
+                return False
+            case EndReason.FAILED:
+                return self._on_failure(end.task.job, sound_ratio, now)
+        return False
+
+    def _on_done(self, sound_ratio: float) -> None:
+        self.suspicion = 0.0
+        self.evidence += math.log((1 - FAULTY_FAILURE_RATIO) / (1 - sound_ratio))
+        if self.evidence <= 0.0:
+            self.evidence = 0.0
             self.failed_jobs.clear()
-            self.suspicion = 0.0
-            return False
-        if end.reason is not EndReason.FAILED:
-            return False
+
+    def _on_failure(self, job: str, sound_ratio: float, now: float) -> bool:
         self.suspicion = self.suspicion_now(now) + SUSPICION_PER_FAILURE
         self.suspicion_updated_at = now
-        self.failed_jobs.add(end.task.job)
-        if len(self.failed_jobs) < JOBS_FAILED_BEFORE_QUARANTINE:
+        if job in self.failed_jobs:
+            return False
+        self.failed_jobs.add(job)
+        self.evidence += math.log(FAULTY_FAILURE_RATIO / sound_ratio)
+        if self.evidence < QUARANTINE_EVIDENCE:
             return False
         self.failed_jobs.clear()
+        self.evidence = EVIDENCE_AFTER_QUARANTINE
         self.quarantine_ends_at = now + FAILURE_QUARANTINE_SECONDS
         return True
 
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -1,14 +1,17 @@
 """State of the scheduling entry during one term."""
 
 from enum import StrEnum
+from typing import NamedTuple
 
 from savorydale.jobs.rows import MAX_ROW_BYTES
 from savorydale.jobs.tracker import JobTracker
+from savorydale.orders.interface import EndedRun, EndReason
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import AdviceCache
 from savorydale.placement.choice import Candidate
 from savorydale.placement.colocation import Colocation
 from savorydale.placement.crash_history import CrashHistory
+from savorydale.placement.failure_rates import FailureRates
 from savorydale.placement.headroom import BatchTaskDemand
 from savorydale.placement.health import WorkerHealth, must_ignore_quarantine
 from savorydale.storage.rows import RowKey, RowWrite
@@ -27,6 +30,16 @@
 QUARANTINE_OBSTACLES = (WorkerObstacle.QUARANTINED, WorkerObstacle.STALLED)
 
 
+class EndVerdict(NamedTuple):
+    """What the end of a run tells of its worker's health.
+
+    ``failure_ratio_elsewhere`` is the share of runs that fail on other workers.
+    """
+
+    begins_quarantine: bool
+    failure_ratio_elsewhere: float
+
+
 class SchedulerState:
     """Jobs, workers and learned models, shared by the components of a term.
 
@@ -42,6 +55,7 @@
         self.crash_history = CrashHistory()
         self.ended_ms_by_job: dict[str, int] = {}
         self._health_by_worker: dict[str, WorkerHealth] = {}
+        self._failure_rates_by_service: dict[str, FailureRates] = {}
         self._write_by_row: dict[RowKey, RowWrite] = {}
 
     @property
@@ -58,6 +72,20 @@
         """Return the record of a worker's failures and stalls."""
         return self._health_by_worker.setdefault(worker, WorkerHealth())
 
+    def record_end(self, link: WorkerLink, end: EndedRun, now: float) -> EndVerdict:
+        """Record the end of a run on a worker; return what it tells of its health."""
+        rates = self._failure_rates_by_service.setdefault(
+            link.info.service, FailureRates()
+        )
+        health = self.health_of(link.worker)
+        ratio = rates.ratio_elsewhere(link.worker, now)
+        begins_quarantine = health.on_end(end, ratio, now)
+        if health.is_quarantined(now):
+            rates.forget(link.worker, now)
+        elif end.reason in (EndReason.DONE, EndReason.FAILED):
+            rates.record(link.worker, end.reason is EndReason.FAILED, now)
+        return EndVerdict(begins_quarantine, ratio)
+
     def write(self, name: RowKey, value: bytes | None) -> None:
         """Write a row with the next commit, or delete it if ``value`` is ``None``."""
         self._write_by_row[name] = RowWrite(name, value)
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -326,11 +326,18 @@
                 "effect": effect,
             },
         )
-        if self._state.health_of(link.worker).on_end(end, now):
+        verdict = self._state.record_end(link, end, now)
+        if verdict.begins_quarantine:
             self._counters.increment("worker.quarantined")
             log.warning(
                 "worker is quarantined",
-                extra={"worker": link.worker, "reason": "tasks of several jobs failed"},
+                extra={
+                    "worker": link.worker,
+                    "reason": "more tasks fail than on other workers",
+                    "failure_ratio_elsewhere": round(
+                        verdict.failure_ratio_elsewhere, 3
+                    ),
+                },
             )
         job = self._state.job_tracker.job_by_id.get(end.task.job)
         if job is not None:
