Let an overdue service without another place use a quarantined worker

Cause: a quarantine, a verdict of ours, left the worker out for all work, even while an accepted service had no other place. Evidence: last_resort_tests.py on: a service beside one quarantined worker is not placed at all within 10 s, with 1, 2 and 3 workers, for failures and for stalls, and beside batch work that takes the rest. Change: a replica of a service that has waited for SERVICE_OVERDUE_SECONDS is tried on the quarantined workers once no other took it, also while its refusal is remembered. Not where the task has failed since the worker last seemed sound: WorkerHealth.failed_tasks, since the tracker excludes workers for failed batch tasks and for crashes, but not for failed services. Gangs, suspects and batch work have no last resort; held, draining, unregistered and silent workers are none. Headroom, labels, limits per worker and tickets hold as ever. A field of 'run assigned' and run.assigned_as_last_resort tell of such placements. Why it works: the wait has an end that does not depend on the quarantine, and a worker that fails everything gets each service once.

--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 
+from savorydale.jobs.model import TaskId
 from savorydale.orders.interface import EndedRun, EndReason
 from savorydale.orders.runs import Run, RunState
 
@@ -38,11 +39,13 @@
     """Failures and quarantine of one worker; times are on the loop's clock.
 
     ``evidence`` is the sum of the sequential test; each job in ``failed_jobs`` counts
-    once, since its tasks may fail anywhere. ``stall_ends_at`` is when a quarantine
-    because of stalled runs ends, and ``quarantine_ends_at`` one because of failures.
+    once, since its tasks may fail anywhere. ``failed_tasks`` have failed since the
+    worker last seemed sound. ``stall_ends_at`` is when a quarantine because of stalled
+    runs ends, and ``quarantine_ends_at`` one because of failures.
     """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    failed_tasks: set[TaskId] = dataclasses.field(default_factory=set)
     evidence: float = 0.0
     quarantine_ends_at: float = 0.0
     stall_ends_at: float = 0.0
@@ -63,6 +66,7 @@
                 self._on_done(sound_ratio)
                 return False
             case EndReason.FAILED:
+                self.failed_tasks.add(end.task)
                 return self._on_failure(end.task.job, sound_ratio, now)
         return False
 
@@ -72,6 +76,7 @@
         if self.evidence <= 0.0:
             self.evidence = 0.0
             self.failed_jobs.clear()
+            self.failed_tasks.clear()
 
     def _on_failure(self, job: str, sound_ratio: float, now: float) -> bool:
         self.suspicion = self.suspicion_now(now) + SUSPICION_PER_FAILURE
--- a/savorydale/scheduler/fleet.py
+++ b/savorydale/scheduler/fleet.py
@@ -94,7 +94,8 @@
     of it is reserved, and ``is_mostly_unreserved`` whether less than half of it is.
     ``free_before`` is what was free when the round began. ``candidates`` may leave out
     workers that are held for others, or that the policy does not allow;
-    ``all_candidates`` has them all.
+    ``all_candidates`` has them all. ``last_resort`` has the quarantined workers as its
+    candidates, if there are any.
     """
 
     service: str
@@ -104,6 +105,8 @@
     is_full: bool
     is_mostly_unreserved: bool
     free_before: FreeCapacity
+    last_resort: "Fleet | None" = None
+    is_last_resort: bool = False
 
     def fits(self, spec: StepSpec) -> bool:
         """Return whether a task of a step fits on one of the workers."""
@@ -151,15 +154,28 @@
         """Return the fleet of a service."""
         fleet = self._fleet_by_service.get(service)
         if fleet is None:
-            candidates = self._state.candidates(service, self._now)
-            fleet = Fleet(
-                service,
-                candidates,
-                candidates,
-                is_busy(candidates),
-                is_full(candidates),
-                is_mostly_unreserved(candidates),
-                FreeCapacity(candidates),
-            )
+            fleet = self._collect(service)
             self._fleet_by_service[service] = fleet
         return fleet
+
+    def _collect(self, service: str) -> Fleet:
+        candidates, quarantined = self._state.candidates(service, self._now)
+        fleet = _make_fleet(service, candidates, candidates)
+        if not quarantined:
+            return fleet
+        last_resort = _make_fleet(service, quarantined, [*candidates, *quarantined])
+        return fleet._replace(last_resort=last_resort._replace(is_last_resort=True))
+
+
+def _make_fleet(
+    service: str, candidates: list[Candidate], all_candidates: list[Candidate]
+) -> Fleet:
+    return Fleet(
+        service,
+        candidates,
+        all_candidates,
+        is_busy(all_candidates),
+        is_full(all_candidates),
+        is_mostly_unreserved(all_candidates),
+        FreeCapacity(all_candidates),
+    )
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -25,6 +25,7 @@
 from savorydale.placement.start_turns import StartTurns
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
+from savorydale.scheduler.last_resort import LastResort
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.refusals import Refusals
 from savorydale.scheduler.state import SchedulerState
@@ -97,6 +98,7 @@
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
         self._refusals = Refusals(state, self._isolation, self.wait_decisions)
+        self._last_resort = LastResort(state, self._isolation)
         self._start_turns = StartTurns()
         self._counts = PlanningCounts()
         self._policy_queries: set[asyncio.Task[None]] = set()
@@ -148,6 +150,7 @@
         self._counts.steps_waiting += len(ranked)
         self._turns.begin_round((each.key for each in ranked), now)
         self._refusals.begin_round(each.key for each in ranked)
+        self._last_resort.begin_round()
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
         self._scores.clear()
@@ -204,12 +207,41 @@
     ) -> bool:
         """Try to place waiting tasks; return whether they were considered.
 
+        An overdue service that no other worker can take may use a quarantined one.
+        """
+        queue = waiting.step.job.queue
+        fleet = this_round.fleets.for_service(self.service_of(queue))
+        is_considered = self._consider_fleet(waiting, fleet, this_round, is_turn)
+        return self._place_as_last_resort(waiting, fleet, this_round) or is_considered
+
+    def _place_as_last_resort(
+        self, waiting: WaitingTasks, fleet: Fleet, this_round: PlanningRound
+    ) -> bool:
+        """Place an overdue service on a quarantined worker; return whether it is."""
+        now, step = this_round.now, waiting.step
+        last_resort = self._last_resort.find_fleet(waiting, fleet, now)
+        if last_resort is None:
+            return False
+        if self._place_allowed(step, waiting.tasks, last_resort, now):
+            return True
+        if not self._needs_advice(step):
+            self._last_resort.record_failure(waiting, last_resort)
+        return False
+
+    def _consider_fleet(
+        self,
+        waiting: WaitingTasks,
+        fleet: Fleet,
+        this_round: PlanningRound,
+        is_turn: bool,
+    ) -> bool:
+        """Try to place waiting tasks on a fleet; return whether they were considered.
+
         They are not if a recent round has found no worker for them, or another task of
         their step. On their turn, only a refusal of the same round counts.
         """
-        now, fleets, _ = this_round
+        now = this_round.now
         step, tasks = waiting.step, waiting.tasks
-        fleet = fleets.for_service(self.service_of(step.job.queue))
         if step.spec.gang and len(tasks) < step.unfinished_count:
             self._turns.record(waiting.key, now)
             self.wait_decisions.record_skip(
@@ -552,7 +584,7 @@
         for task, run, link in chosen:
             self._isolation.record_placement(link.worker, task.id)
             self._start_turns.record_start(task.id, now)
-            self._assign(step, task, run, link)
+            self._assign(step, task, run, link, fleet.is_last_resort)
         self._counts.tasks_placed += len(chosen)
         return len(chosen) == len(tasks)
 
@@ -569,7 +601,12 @@
             run.number = newest.run + 1
 
     def _assign(
-        self, step: StepProgress, task: Task, run: Run, link: WorkerLink
+        self,
+        step: StepProgress,
+        task: Task,
+        run: Run,
+        link: WorkerLink,
+        is_last_resort: bool,
     ) -> None:
         self._state.job_tracker.assign(step, task, link.worker)
         name = _name_of(step)
@@ -577,6 +614,8 @@
         payload = step.job.row.spec.payload
         self._starts.append(PendingStart(link, run, payload, task.checkpoint, ticket))
         self._counters.increment("run.assigned")
+        if is_last_resort:
+            self._counters.increment("run.assigned_as_last_resort")
         log.info(
             "run assigned",
             extra={
@@ -585,6 +624,7 @@
                 "run": task.run,
                 "worker": link.worker,
                 "age": round(run.assigned_at - step.job.added_at, 3),
+                "last_resort": is_last_resort,
             },
         )
 
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -40,6 +40,13 @@
     failure_ratio_elsewhere: float
 
 
+class ServiceCandidates(NamedTuple):
+    """The workers of a service that may get tasks, and those only quarantined."""
+
+    usable: list[Candidate]
+    quarantined: list[Candidate]
+
+
 class SchedulerState:
     """Jobs, workers and learned models, shared by the components of a term.
 
@@ -96,34 +103,33 @@
         self._write_by_row.clear()
         return writes
 
-    def candidates(self, service: str, now: float) -> list[Candidate]:
+    def candidates(self, service: str, now: float) -> ServiceCandidates:
         """Return the workers of a service that may get tasks now.
 
         If most of them are quarantined, all may: see `must_ignore_quarantine`.
         """
-        available: list[WorkerLink] = []
-        quarantined: set[str] = set()
+        usable: list[Candidate] = []
+        quarantined: list[Candidate] = []
         for link in self.links:
             if link.info.service != service:
                 continue
             obstacle = self.find_obstacle(link, now)
-            if obstacle in QUARANTINE_OBSTACLES:
-                quarantined.add(link.worker)
-            if obstacle in (None, *QUARANTINE_OBSTACLES):
-                available.append(link)
-        if must_ignore_quarantine(len(quarantined), len(available)):
-            quarantined.clear()
-        return [
-            Candidate(
-                link.worker,
-                link.info.labels,
-                link.load,
-                self.health_of(link.worker).suspicion_now(now),
-                self.colocation.scarcity_of(link.worker),
-            )
-            for link in available
-            if link.worker not in quarantined
-        ]
+            if obstacle is None:
+                usable.append(self._make_candidate(link, now))
+            elif obstacle in QUARANTINE_OBSTACLES:
+                quarantined.append(self._make_candidate(link, now))
+        if must_ignore_quarantine(len(quarantined), len(usable) + len(quarantined)):
+            return ServiceCandidates([*usable, *quarantined], [])
+        return ServiceCandidates(usable, quarantined)
+
+    def _make_candidate(self, link: WorkerLink, now: float) -> Candidate:
+        return Candidate(
+            link.worker,
+            link.info.labels,
+            link.load,
+            self.health_of(link.worker).suspicion_now(now),
+            self.colocation.scarcity_of(link.worker),
+        )
 
     def find_obstacle(self, link: WorkerLink, now: float) -> WorkerObstacle | None:
         """Return why a worker may get no tasks now, or ``None`` if it may."""
