Let a refusal lapse once a worker becomes usable

Cause: while rounds are cut off, a refusal is remembered for 2 s. Nothing let it lapse when a quarantine, a silence, a drain, a missing registration or the isolation of a suspect ended, so the service was skipped in that round. Evidence: refusal_lapse_tests.py on: in each of its six cases the batch work of a lower priority takes the worker, and the service of the highest priority gets nothing. Change: a refusal keeps its service and its step's demand. Each round compares the usable workers of the services that have refusals with those of the round before, and drops the refusals that the gained workers have the capacity for. Why it works: the service is tried at its rank in the very round in which the worker is usable. Other refusals stay, so cut rounds go on skipping them. Tests: refusal_lapse_tests.py, before: 6 of 6 failed; now they pass, and the others of scheduler and placement.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -149,7 +149,7 @@
         ranked = self._rank_waiting(waiting, fleets, now)
         self._counts.steps_waiting += len(ranked)
         self._turns.begin_round((each.key for each in ranked), now)
-        self._refusals.begin_round(each.key for each in ranked)
+        self._refusals.begin_round((each.key for each in ranked), fleets)
         self._last_resort.begin_round()
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
--- a/savorydale/scheduler/refusals.py
+++ b/savorydale/scheduler/refusals.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from savorydale.jobs.model import TaskId
+from savorydale.jobs.model import StepSpec, TaskId
 from savorydale.placement.advice import StepName
+from savorydale.placement.choice import Candidate
 from savorydale.placement.isolation import SuspectIsolation
-from savorydale.scheduler.fleet import Fleet
+from savorydale.scheduler.fleet import Fleet, Fleets, FreeCapacity
 from savorydale.scheduler.state import SchedulerState
 from savorydale.scheduler.turns import TurnKey, WaitingTasks
 from savorydale.scheduler.waiting import (
@@ -43,11 +44,17 @@
     """A task for which a recent round found no worker; ``at`` is when."""
 
     task: TaskId
+    service: str
+    spec: StepSpec
     at: float
 
 
 class Refusals:
-    """The refusals of recent rounds; their reasons go to the decisions on services."""
+    """The refusals of recent rounds; their reasons go to the decisions on services.
+
+    ``_usable_by_service`` are the workers that were usable when a round began, or when
+    the first refusal of their service was recorded.
+    """
 
     def __init__(
         self,
@@ -59,19 +66,54 @@
         self._isolation = isolation
         self._decisions = decisions
         self._refusal_by_key: dict[TurnKey, RememberedRefusal] = {}
+        self._usable_by_service: dict[str, set[str]] = {}
         self._reasons_left = MAX_REASONS_PER_ROUND
 
-    def begin_round(self, keys: Iterable[TurnKey]) -> None:
-        """Forget the refusals of what no longer waits."""
+    def begin_round(self, keys: Iterable[TurnKey], fleets: Fleets) -> None:
+        """Forget the refusals of what no longer waits, and those that have lapsed.
+
+        A refusal lapses once a worker has become usable that may take the task.
+        """
         self._reasons_left = MAX_REASONS_PER_ROUND
         kept = set(keys)
         self._refusal_by_key = {
             key: refusal for key, refusal in self._refusal_by_key.items() if key in kept
         }
+        gained_by_service = self._find_gained(fleets)
+        if not gained_by_service:
+            return
+        self._refusal_by_key = {
+            key: refusal
+            for key, refusal in self._refusal_by_key.items()
+            if refusal.service not in gained_by_service
+            or not gained_by_service[refusal.service].may_fit(refusal.spec)
+        }
+
+    def _find_gained(self, fleets: Fleets) -> dict[str, FreeCapacity]:
+        """Return the capacity of the workers that have become usable since last time.
+
+        Only the services of remembered refusals are looked at.
+        """
+        services = {refusal.service for refusal in self._refusal_by_key.values()}
+        earlier_by_service = self._usable_by_service
+        self._usable_by_service = {}
+        gained_by_service: dict[str, FreeCapacity] = {}
+        for service in services:
+            usable = self._usable_candidates(fleets.for_service(service))
+            earlier = earlier_by_service[service]
+            gained = [each for each in usable if each.worker not in earlier]
+            self._usable_by_service[service] = {each.worker for each in usable}
+            if gained:
+                gained_by_service[service] = FreeCapacity(gained)
+        return gained_by_service
+
+    def _usable_candidates(self, fleet: Fleet) -> list[Candidate]:
+        return self._isolation.candidates_for_others(fleet.candidates)
 
     def clear(self) -> None:
         """Forget all refusals."""
         self._refusal_by_key.clear()
+        self._usable_by_service.clear()
 
     def find_recent(self, key: TurnKey, now: float) -> RememberedRefusal | None:
         """Return a refusal, if a recent round has found no worker.
@@ -88,7 +130,12 @@
     ) -> None:
         """Remember that no worker could take one of the waiting tasks, and why."""
         refused = next(task for task in waiting.tasks if task.is_waiting)
-        self._refusal_by_key[waiting.key] = RememberedRefusal(refused.id, now)
+        self._refusal_by_key[waiting.key] = RememberedRefusal(
+            refused.id, fleet.service, waiting.step.spec, now
+        )
+        if fleet.service not in self._usable_by_service:
+            usable = self._usable_candidates(fleet)
+            self._usable_by_service[fleet.service] = {each.worker for each in usable}
         self.explain(waiting, fleet, needs_advice, now)
 
     def record_skip(
