Ignore the quarantine of all workers of a small service

Seen by callers: batch work on a service of one or two workers stops for 4 s, though nothing shows that the workers are at fault, and not the tasks. Cause: MIN_COMPARED_WORKERS kept a quarantine in force with fewer than three workers, also if it left none. Evidence: quarantine_wait_tests.py on: a batch task starts after 4.0 s on one or two quarantined workers (3 s are allowed), and if one of two is draining and the other one quarantined, neither kind of task starts at once. Change: without that bound, the rule for three workers or more holds for all: a quarantine is ignored if it is of more than half of the workers that could take tasks, which is one of one, or two of two. Why it works: one of two workers is still left out, as the other one takes over. Tests: quarantine_wait_tests.py, before: 4 failed; now all pass. In move_target_tests.py, [set_quarantine] quarantined the only worker beside the draining one, which may take tasks now; it gets a third worker, without the label, so that the quarantine is in force: nothing is moved, as before. A new test says that a service does leave a draining worker for the only other one (it stayed, before).

--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -29,7 +29,6 @@
 STALL_ESTIMATE_RATIO = 0.15  # of the estimate, since long tasks progress slowly
 MIN_STALL_SPEED_PERCENT = 50  # slower backfill may seem stalled on a healthy worker
 MAX_QUARANTINED_RATIO = 0.5  # of the workers of a service
-MIN_COMPARED_WORKERS = 3  # fewer do not show whether the tasks are the cause
 SUSPICION_PER_FAILURE = 0.5
 SUSPICION_HALF_LIFE_SECONDS = 5.0
 
@@ -115,10 +114,9 @@
 def must_ignore_quarantine(quarantined_count: int, worker_count: int) -> bool:
     """Return whether so many workers are quarantined that the tasks are the cause.
 
-    Tasks that fail everywhere would otherwise leave no worker for all others.
+    Tasks that fail everywhere would otherwise leave no worker for all others. So would
+    a quarantine of one worker out of one, or of two out of two.
     """
-    if worker_count < MIN_COMPARED_WORKERS:
-        return False
     return quarantined_count > MAX_QUARANTINED_RATIO * worker_count
 
 
--- a/savorydale/tests/scheduler/move_target_tests.py
+++ b/savorydale/tests/scheduler/move_target_tests.py
@@ -63,6 +63,7 @@
 
 
 def set_quarantine(fixture):
+    fixture.add_worker("unlabelled")  # a quarantine of all workers is ignored
     fixture.state.health_of("other").quarantine_ends_at = FAR_FUTURE
 
 
@@ -104,6 +105,14 @@
     assert fixture.task.id in await fixture.moved_tasks()
 
 
+@on_virtual_time
+async def test_service_leaves_a_draining_worker_though_all_others_are_quarantined():
+    fixture = MoveFixture(SERVICE_STEP)
+    fixture.here.info = fixture.here.info._replace(is_draining=True)
+    fixture.state.health_of("other").quarantine_ends_at = FAR_FUTURE
+    assert fixture.task.id in await fixture.moved_tasks()
+
+
 @pytest.mark.parametrize("obstacle", OBSTACLES)
 @on_virtual_time
 async def test_service_keeps_running_if_no_other_worker_may_take_it(obstacle):
