--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 
+from savorydale.jobs.model import TaskId
 from savorydale.orders.interface import EndedRun, EndReason
 from savorydale.orders.runs import Run, RunState
 
@@ -28,7 +29,6 @@
 STALL_ESTIMATE_RATIO = 0.15  # of the estimate, since long tasks progress slowly
 MIN_STALL_SPEED_PERCENT = 50  # slower backfill may seem stalled on a healthy worker
 MAX_QUARANTINED_RATIO = 0.5  # of the workers of a service
-MIN_COMPARED_WORKERS = 3  # fewer do not show whether the tasks are the cause
 SUSPICION_PER_FAILURE = 0.5
 SUSPICION_HALF_LIFE_SECONDS = 5.0
 
@@ -38,11 +38,13 @@
     """Failures and quarantine of one worker; times are on the loop's clock.
 
     ``evidence`` is the sum of the sequential test; each job in ``failed_jobs`` counts
-    once, since its tasks may fail anywhere. ``stall_ends_at`` is when a quarantine
-    because of stalled runs ends, and ``quarantine_ends_at`` one because of failures.
+    once, since its tasks may fail anywhere. ``failed_tasks`` have failed since the
+    worker last seemed sound. ``stall_ends_at`` is when a quarantine because of stalled
+    runs ends, and ``quarantine_ends_at`` one because of failures.
     """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    failed_tasks: set[TaskId] = dataclasses.field(default_factory=set)
     evidence: float = 0.0
     quarantine_ends_at: float = 0.0
     stall_ends_at: float = 0.0
@@ -63,6 +65,7 @@
                 self._on_done(sound_ratio)
                 return False
             case EndReason.FAILED:
+                self.failed_tasks.add(end.task)
                 return self._on_failure(end.task.job, sound_ratio, now)
         return False
 
@@ -72,6 +75,7 @@
         if self.evidence <= 0.0:
             self.evidence = 0.0
             self.failed_jobs.clear()
+            self.failed_tasks.clear()
 
     def _on_failure(self, job: str, sound_ratio: float, now: float) -> bool:
         self.suspicion = self.suspicion_now(now) + SUSPICION_PER_FAILURE
@@ -110,10 +114,9 @@
 def must_ignore_quarantine(quarantined_count: int, worker_count: int) -> bool:
     """Return whether so many workers are quarantined that the tasks are the cause.
 
-    Tasks that fail everywhere would otherwise leave no worker for all others.
+    Tasks that fail everywhere would otherwise leave no worker for all others. So would
+    a quarantine of one worker out of one, or of two out of two.
     """
-    if worker_count < MIN_COMPARED_WORKERS:
-        return False
     return quarantined_count > MAX_QUARANTINED_RATIO * worker_count
 
 
