Hold submissions back while the store is overloaded

Seen by callers: while more jobs are submitted than the store can take, they are accepted with 200 and none starts for 8 s or more. Cause: all rows are in one partition, which refuses (429) what would wait longer than 1 s. Submissions kept that queue full, each with three attempts 0.1 s apart, from all entries; the scheduling entry retries one commit each 0.34 s. Change: after a 429, or a transaction that takes 0.5 s longer than a read, an entry sends no submission until it has seen a newer version of the lease row, for 2 s at most. Jobs that come meanwhile get 503 with Retry-After at once (answer.503.refused.store_overloaded), after a read of the job's state, so that a job that is stored already is not refused. A 429 is final for the attempt. Cancels are not held back. No call to the store is added but that read, where up to three writes were tried before. Why it works: each sign of overload pauses submissions until the scheduler has committed, whatever the number of entries. JobStore takes a gate now, so two tests pass one.

--- a/savorydale/job_entry.py
+++ b/savorydale/job_entry.py
@@ -13,10 +13,11 @@
 from savorydale.exceptions import LeadershipLostError, OverloadedError, StoreError
 from savorydale.jobs.model import Configuration
 from savorydale.jobs.store import JobStore
+from savorydale.jobs.submission_gate import SubmissionGate
 from savorydale.jobs.validation import JobLimits
 from savorydale.messages.vm_types import VmConfig
 from savorydale.orders.interface import WorkerOrders
-from savorydale.ownership.election import wait_for_lease
+from savorydale.ownership.election import LeaseObservation, wait_for_lease
 from savorydale.ownership.lease import EntryIdentity, SchedulerLease
 from savorydale.platform.advice import PlatformPolicyService
 from savorydale.platform.discovery import (
@@ -72,7 +73,10 @@
         self._policy = (
             PlatformPolicyService(http, policy_address) if policy_address else None
         )
-        self.job_store = JobStore(self._store)
+        self._lease: SchedulerLease | None = None
+        self._lease_observation = LeaseObservation()
+        gate = SubmissionGate(self._read_commit_version)
+        self.job_store = JobStore(self._store, gate)
         self._frontend = Frontend(
             self.job_store,
             counters,
@@ -87,7 +91,6 @@
         self._clock_offset_ms = 0.0
         self._clock_logged_at = 0.0
         self._is_stopping = False
-        self._lease: SchedulerLease | None = None
         vm = config["vm"]
         cores = vm["processor_share"] * vm["processor_count"]
         self._identity = EntryIdentity(vm["name"], incarnation, cores)
@@ -211,7 +214,11 @@
         while True:
             try:
                 self._lease = await wait_for_lease(
-                    self._store, self._identity, rng, acquire_delay_seconds
+                    self._store,
+                    self._identity,
+                    rng,
+                    acquire_delay_seconds,
+                    self._lease_observation,
                 )
                 await self._schedule(self._lease)
             except* LeadershipLostError as group:
@@ -234,6 +241,12 @@
                 await self._give_up_lease()
             self._lease = None
 
+    def _read_commit_version(self) -> int:
+        """Return the version of the scheduling entry's latest commit known here."""
+        if self._lease is not None:
+            return self._lease.version
+        return self._lease_observation.version
+
     async def _give_up_lease(self) -> None:
         """Release the lease and let another entry acquire it first."""
         self._counters.increment("lease.given_up")
--- a/savorydale/jobs/store.py
+++ b/savorydale/jobs/store.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 from typing import NamedTuple
@@ -26,6 +27,7 @@
     summary_key,
     tombstone_key,
 )
+from savorydale.jobs.submission_gate import SubmissionGate
 from savorydale.storage.response_timeout import ResponseTimeout
 from savorydale.storage.rows import (
     ABSENT,
@@ -40,6 +42,7 @@
     RowTransaction,
     RowWrite,
     StoredRow,
+    StoreOverloaded,
     TransactionOutcome,
     read_row,
 )
@@ -69,6 +72,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobHeldBack(JobNotAccepted):
+    """The job is not stored by this call, because the store is overloaded."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobOutcomeUnknown:
     """The job may be stored, now or later; the submission is safe to retry."""
@@ -96,21 +104,27 @@
     The cache keeps the states that were read last.
     """
 
-    def __init__(self, store: RowStore):
+    def __init__(self, store: RowStore, gate: SubmissionGate):
         self._store = store
+        self._gate = gate
         self._terminal_state_by_job: dict[str, StateRow] = {}
         self._response_timeout = ResponseTimeout()
+        self._read_seconds = 0.0
 
     async def submit(
         self, job: str, spec: JobSpec, queue: QueueSettings, timeout_seconds: float
     ) -> SubmitOutcome:
         """Store a job unless it is stored already.
 
-        A job that was cancelled before is stored as cancelled, and never runs.
+        A job that was cancelled before is stored as cancelled, and never runs. While
+        the store is overloaded, jobs are not accepted, so that those that are stored
+        can start.
         """
-        transaction = submission = _make_submission(job, spec, queue)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
+        if not self._gate.is_open():
+            return await self._hold_back(job, "the store is overloaded", deadline)
+        transaction = submission = _make_submission(job, spec, queue)
         unknown_reason = ""
         refusals = 0
         unknown_outcomes = 0
@@ -132,6 +146,8 @@
                         return JobAccepted(is_repeat=True)
                     transaction = _make_cancelled(stored, queue)
                     continue
+                case StoreOverloaded(reason) if not unknown_reason:
+                    return await self._hold_back(job, reason, deadline)
                 case NotDone(reason):
                     refusals += 1
                     if not unknown_reason and refusals >= MAX_REFUSALS:
@@ -143,6 +159,14 @@
                         return JobOutcomeUnknown(reason)
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
+    async def _hold_back(self, job: str, reason: str, deadline: float) -> SubmitOutcome:
+        """Return that a job is not accepted, unless an earlier call has stored it."""
+        with contextlib.suppress(StoreError):
+            stored, _ = await self._read_row_once(state_key(job), deadline)
+            if stored is not None and not _is_tombstone(stored):
+                return JobAccepted(is_repeat=True)
+        return JobHeldBack(reason)
+
     def has_terminal_state(self, job: str) -> bool:
         """Return whether the job's terminal state is cached."""
         return job in self._terminal_state_by_job
@@ -225,8 +249,14 @@
         sent_at = loop.time()
         timeout = min(self._response_timeout.seconds, seconds_left)
         outcome = await self._store.transact(transaction, timeout)
+        response_seconds = loop.time() - sent_at
+        match outcome:
+            case StoreOverloaded():
+                self._gate.close()
+            case Committed() | Conflict():
+                self._gate.record_response(response_seconds, self._read_seconds)
         if not isinstance(outcome, OutcomeUnknown):
-            self._response_timeout.record_response(loop.time() - sent_at)
+            self._response_timeout.record_response(response_seconds)
         return outcome
 
     async def _read_state(
@@ -253,17 +283,24 @@
         """Read a row, retrying until ``deadline`` on the loop's clock."""
         loop = asyncio.get_running_loop()
         while True:
-            sent_at = loop.time()
-            timeout = min(READ_TIMEOUT_SECONDS, max(0.0, deadline - sent_at))
             try:
-                found = await read_row(self._store, row_key, timeout)
-                self._response_timeout.record_response(loop.time() - sent_at)
-                return found
+                return await self._read_row_once(row_key, deadline)
             except StoreError:
                 if loop.time() + RETRY_DELAY_SECONDS >= deadline:
                     raise
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
+    async def _read_row_once(
+        self, row_key: RowKey, deadline: float
+    ) -> tuple[StoredRow | None, RowRange]:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        timeout = min(READ_TIMEOUT_SECONDS, max(0.0, deadline - sent_at))
+        found = await read_row(self._store, row_key, timeout)
+        self._read_seconds = loop.time() - sent_at
+        self._response_timeout.record_response(self._read_seconds)
+        return found
+
 
 def _read_summary(value: bytes) -> SummaryRow | None:
     try:
--- a/savorydale/ownership/election.py
+++ b/savorydale/ownership/election.py
@@ -59,6 +59,7 @@
     identity: EntryIdentity,
     rng: random.Random,
     acquire_delay_seconds: float,
+    observation: LeaseObservation | None = None,
 ) -> SchedulerLease:
     """Return the lease once this entry has acquired it.
 
@@ -70,9 +71,11 @@
 
     An entry that has already scheduled under the lease acquires it anew, with the next
     epoch: workers may have seen higher fencing tokens than a new term begins with.
+
+    ``observation`` receives the version of the lease row at each poll.
     """
     loop = asyncio.get_running_loop()
-    observation = LeaseObservation()
+    observation = observation or LeaseObservation()
     while True:
         polled_at = loop.time()
         try:
--- a/savorydale/platform/frontend.py
+++ b/savorydale/platform/frontend.py
@@ -19,6 +19,7 @@
 from savorydale.jobs.rows import JobRow
 from savorydale.jobs.store import (
     JobAccepted,
+    JobHeldBack,
     JobNotAccepted,
     JobOutcomeUnknown,
     JobStore,
@@ -197,6 +198,8 @@
         match outcome:
             case JobAccepted(is_repeat):
                 return self._respond(200, "repeat" if is_repeat else "accepted", {})
+            case JobHeldBack():
+                return self._refuse("store_overloaded")
             case JobNotAccepted():
                 return self._refuse("store_refuses")
             case JobOutcomeUnknown(reason):
--- a/savorydale/platform/store.py
+++ b/savorydale/platform/store.py
@@ -22,6 +22,7 @@
     RowTransaction,
     RowWrite,
     StoredRow,
+    StoreOverloaded,
     TransactionOutcome,
 )
 from savorydale.utils.json_values import (
@@ -39,7 +40,8 @@
 LONG_POLL_MARGIN_SECONDS = 0.4
 MIN_POLL_TIMEOUT_SECONDS = 1.4  # the store may be slow to answer
 MILLISECONDS_PER_SECOND = 1000
-TRANSIENT_STATUSES = (408, 425, 429, 503)  # the same transaction may succeed later
+OVERLOAD_STATUS = 429
+TRANSIENT_STATUSES = (408, 425, 503)  # the same transaction may succeed later
 MAX_CLOCK_MS = 100_000_000_000_000
 MAX_VERSION = 1_000_000_000_000_000
 UNREADABLE_VALUE = b""
@@ -87,6 +89,8 @@
                 return Committed(version)
             case HttpReply(412, dict(conflict)):
                 return _parse_conflict(conflict)
+            case HttpReply(status=status) if status == OVERLOAD_STATUS:
+                return StoreOverloaded(f"status {status}: {reply.body}"[:200])
             case HttpReply(status=status) if status in TRANSIENT_STATUSES:
                 return NotDone(f"status {status}: {reply.body}"[:200])
             case HttpReply(status=status) if 400 <= status < 500:
--- a/savorydale/storage/rows.py
+++ b/savorydale/storage/rows.py
@@ -77,6 +77,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOverloaded(NotDone):
+    """The store refused the transaction for its load; nothing was written."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rejected(NotDone):
     """The store refused the transaction for what it contains; nothing was written."""
@@ -89,7 +94,9 @@
     reason: str
 
 
-TransactionOutcome = Committed | Conflict | NotDone | Rejected | OutcomeUnknown
+TransactionOutcome = (
+    Committed | Conflict | NotDone | StoreOverloaded | Rejected | OutcomeUnknown
+)
 
 
 class RowStore(Protocol):
--- a/savorydale/tests/jobs/store_tests.py
+++ b/savorydale/tests/jobs/store_tests.py
@@ -5,6 +5,7 @@
 from savorydale.jobs import store as store_module
 from savorydale.jobs.rows import JobStatus, StateRow, encode_state, state_key
 from savorydale.jobs.store import JobStore
+from savorydale.jobs.submission_gate import SubmissionGate
 from savorydale.storage.rows import RowRange, StoredRow
 
 
@@ -23,7 +24,7 @@
 def test_cache_of_terminal_states_is_bounded(monkeypatch):
     monkeypatch.setattr(store_module, "MAX_CACHED_STATES", 2)
     rows = StoreOfEndedJobs()
-    job_store = JobStore(rows)
+    job_store = JobStore(rows, SubmissionGate(lambda: 0))
 
     async def find_all():
         for job in ("a", "b", "c", "c", "b", "a"):
--- a/savorydale/tests/platform/adapter_tests.py
+++ b/savorydale/tests/platform/adapter_tests.py
@@ -51,6 +51,7 @@
     RowTransaction,
     RowWrite,
     StoredRow,
+    StoreOverloaded,
 )
 
 NAME = RowKey("t", "k")
@@ -101,6 +102,8 @@
         (NotSentError("x"), NotDone("x")),
         (NoReplyError("x"), OutcomeUnknown("x")),
         (HttpReply(500, None), OutcomeUnknown("status 500")),
+        (HttpReply(429, {}), StoreOverloaded("status 429: {}")),
+        (HttpReply(503, {}), NotDone("status 503: {}")),
     ],
 )
 def test_outcomes_of_a_transaction(reply, outcome):
--- a/savorydale/tests/platform/frontend_tests.py
+++ b/savorydale/tests/platform/frontend_tests.py
@@ -11,6 +11,7 @@
 from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import Configuration, QueueSettings
 from savorydale.jobs.store import JobStore
+from savorydale.jobs.submission_gate import SubmissionGate
 from savorydale.platform.frontend import Frontend
 from savorydale.storage.rows import (
     Committed,
@@ -18,6 +19,7 @@
     NotDone,
     OutcomeUnknown,
     RowRange,
+    StoreOverloaded,
 )
 
 QUEUE = QueueSettings("q", "desk.example", "/q/", "desk")
@@ -37,6 +39,16 @@
         return self.outcome
 
 
+class OverloadedStore(ScriptedStore):
+    """Refuses every transaction for its load, and holds no job."""
+
+    def __init__(self):
+        super().__init__(StoreOverloaded("x"))
+
+    async def read_range(self, table, start="", end="", *, timeout_seconds):
+        return RowRange((), 1, 1)
+
+
 class UnresponsiveStore:
     """Accepts requests and never responds."""
 
@@ -63,7 +75,7 @@
 async def open_frontend(store, configuration=True, reachable=True, stopping=False):
     current = Configuration(1, {"q": QUEUE}, 1000) if configuration else None
     frontend = Frontend(
-        JobStore(store),
+        JobStore(store, SubmissionGate(lambda: 0)),
         Counters(),
         lambda: current,
         lambda: stopping,
@@ -106,6 +118,14 @@
     assert headers["Retry-After"] == "1"
 
 
+def test_submission_to_an_overloaded_store_is_refused_after_one_attempt():
+    store = OverloadedStore()
+    status, headers = submit(store)
+    assert status == 503
+    assert headers["Retry-After"] == "1"
+    assert store.calls == 1
+
+
 def test_nothing_is_sent_while_the_store_is_unreachable():
     store = ScriptedStore(Committed(1))
     assert submit(store, reachable=False)[0] == 503
