Keep a service under which workers crash

Cause: a task was given up after two crashes that were attributed to it, also if it was long-running, and its whole job failed. Two crashes do not tell a replica that crashes its workers from workers that crash for their own reasons, and long-running tasks have no limit of attempts.

Change: a long-running task is never given up (StepProgress.is_given_up, used at crashes, takeovers and for stored rows; rows of earlier releases are read as before). Where a batch task would be given up, its restarts are delayed by 1 s, 2 s, then 4 s after each crash (placement/restart_delays.py). It still starts apart from other new runs, its other replicas run on, and it is cleared once it passes its probation. The delay is bounded, since a sound replica must be back in time. New log line "restart is delayed", counter task.delayed_after_crashes, wait reason restart_delayed_after_crashes. Batch tasks are given up as before.

--- a/savorydale/jobs/progress.py
+++ b/savorydale/jobs/progress.py
@@ -90,6 +90,16 @@
         """Return how many tasks are assigned to each worker."""
         return collections.Counter(task.worker for task in self.tasks if task.worker)
 
+    def is_given_up(self, task: Task) -> bool:
+        """Return whether a task has used up its attempts or crashed its workers.
+
+        Long-running tasks have no limit of either.
+        """
+        if self.spec.long_running:
+            return False
+        max_attempts = self.job.queue.max_attempts
+        return task.failures >= max_attempts or task.crashes.is_given_up
+
     def mark_done(self, task: Task) -> None:
         """Record that ``task`` has succeeded."""
         if not task.done:
@@ -235,13 +245,9 @@
 
     @property
     def has_failed(self) -> bool:
-        """Return whether a task has used up its attempts or crashed its workers."""
-        max_attempts = self.queue.max_attempts
+        """Return whether a task is given up."""
         return any(
-            task.crashes.is_given_up
-            or (task.failures >= max_attempts and not step.spec.long_running)
-            for step in self.known_steps()
-            for task in step.tasks
+            step.is_given_up(task) for step in self.known_steps() for task in step.tasks
         )
 
     @property
--- a/savorydale/placement/crash_history.py
+++ b/savorydale/placement/crash_history.py
@@ -15,6 +15,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Iterable
 from enum import StrEnum
 
@@ -241,6 +242,15 @@
         ]
         return sorted(groups, key=len)
 
+    def latest_crash_at(self, task: TaskId) -> float:
+        """Return when the latest crash under a task was noticed.
+
+        It is minus infinity if this lease holder has noticed none.
+        """
+        crashes = self._crashes_by_task.get(task, ())
+        noticed_at = [crash.noticed_at for crash in crashes if crash.worker]
+        return max(noticed_at, default=-math.inf)
+
     def of_task(self, task: TaskId) -> list[Crash]:
         """Return the crashes that count against a task."""
         return [crash for crash in self._crashes if task in crash.run_by_task]
--- a/savorydale/placement/crashes.py
+++ b/savorydale/placement/crashes.py
@@ -5,8 +5,9 @@
 shown it active for some time. The runs that are on probation when a worker crashes are
 the suspects. Most of them are innocent, so a task starts apart from others only after a
 crash of which it was the only suspect, or after its second: the next one is attributed
-to it, or it is cleared. A task is given up when enough of its crashes are attributed.
-Crashes that other causes explain do not count (see `crash_history`).
+to it, or it is cleared. A task is given up when enough of its crashes are attributed,
+unless it is long-running (see `restart_delays`). Crashes that other causes explain do
+not count (see `crash_history`).
 """
 
 from collections.abc import Iterable
@@ -59,7 +60,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether the task was among the suspects of a crash."""
-        return self._total + self.explained > 0
+        return self.total + self.explained > 0
 
     @property
     def must_be_isolated(self) -> bool:
@@ -69,9 +70,9 @@
             or self.coincident_alone > 0
             or (
                 self.suspected > 0
-                and self._total + self.explained >= MIN_CRASHES_TO_ISOLATE
+                and self.total + self.explained >= MIN_CRASHES_TO_ISOLATE
             )
-            or self._total >= MIN_COINCIDENT_CRASHES_TO_ISOLATE
+            or self.total >= MIN_COINCIDENT_CRASHES_TO_ISOLATE
         )
 
     @property
@@ -83,23 +84,27 @@
         return (
             self.attributed > 0
             or self.coincident_alone > 0
-            or (self.coincident > 0 and self._total >= MIN_CRASHES_TO_START_APART)
+            or (self.coincident > 0 and self.total >= MIN_CRASHES_TO_START_APART)
         )
 
     @property
     def is_given_up(self) -> bool:
-        """Return whether the task must not be started again."""
+        """Return whether the task must not be started again.
+
+        A long-running task is started again later; see `restart_delays`.
+        """
         if self.suspected == 0:
             return self.coincident >= MAX_COINCIDENT_CRASHES
         alone = self.attributed + self.coincident_alone
         if self.attributed > 0 and alone >= MAX_ATTRIBUTED_CRASHES:
             return True
-        if self._total < MIN_CRASHES_BESIDE_EXPLAINED:
+        if self.total < MIN_CRASHES_BESIDE_EXPLAINED:
             return False
-        return self._total + self.explained >= MAX_CRASHES
+        return self.total + self.explained >= MAX_CRASHES
 
     @property
-    def _total(self) -> int:
+    def total(self) -> int:
+        """Return how many crashes may count against the task."""
         return self.suspected + self.coincident
 
     def add_crash(self, run: int, is_attributed: bool) -> "CrashCounts":
--- a/savorydale/placement/start_turns.py
+++ b/savorydale/placement/start_turns.py
@@ -40,14 +40,15 @@
     def begin_round(
         self,
         suspects: Mapping[TaskId, Task],
-        unjudged: Collection[TaskId],
+        not_yet: Collection[TaskId],
         groups: Iterable[set[TaskId]],
         worker_count: int,
         now: float,
     ) -> None:
         """Choose whose turn it is; ``groups`` are the suspects of each crash.
 
-        Suspects of a crash that is not judged yet do not start at all.
+        Tasks in ``not_yet`` do not start at all: a crash under them is not judged yet,
+        or their restart is delayed.
         """
         self._max_small_count = int(MAX_HELD_RATIO * worker_count)
         waiting = {
@@ -55,7 +56,7 @@
             for name, task in suspects.items()
             if task.is_waiting
             and task.crashes.must_start_at_its_own_time
-            and name not in unjudged
+            and name not in not_yet
         }
         self._forget_others(waiting, suspects, now)
         if now >= self._turn_ends_at:
@@ -66,7 +67,7 @@
             if name not in self._turn
             and now - self._waits_since_by_task[name] < MAX_WAIT_SECONDS
         }
-        self.held.update(unjudged)
+        self.held.update(not_yet)
 
     @property
     def small_turn(self) -> frozenset[TaskId]:
--- a/savorydale/scheduler/crash_handler.py
+++ b/savorydale/scheduler/crash_handler.py
@@ -17,6 +17,7 @@
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.crash_history import Crash, CrashVerdict
 from savorydale.placement.crashes import NO_EVIDENCE
+from savorydale.placement.restart_delays import restart_delay_seconds
 from savorydale.scheduler.state import SchedulerState
 
 MAX_LOGGED_ITEMS = 20
@@ -130,30 +131,41 @@
             step, task = found
             counts = task.crashes.replace_evidence(earlier, crash.evidence)
             self._state.job_tracker.set_crashes(step, task, counts)
-            if counts.is_given_up:
+            if step.is_given_up(task):
                 self._give_up(step, task, crash)
+            elif counts.is_given_up:
+                self._log_delay(task, crash)
 
     def _give_up(self, step: StepProgress, task: Task, crash: Crash) -> None:
         self._counters.increment("task.given_up_after_crashes")
-        now = asyncio.get_running_loop().time()
-        crashes = self._history.of_task(task.id)
+        log.warning("task is given up", extra=self._describe(task, crash))
+        self._fail_job(step.job)
+
+    def _log_delay(self, task: Task, crash: Crash) -> None:
+        self._counters.increment("task.delayed_after_crashes")
+        delay_seconds = restart_delay_seconds(task.crashes)
         log.warning(
-            "task is given up",
-            extra={
-                "job": task.id.job,
-                "task": str(task.id),
-                "run": task.run,
-                "worker": crash.worker,
-                "crashes": task.crashes.suspected,
-                "attributed": task.crashes.attributed,
-                "coincident": task.crashes.coincident,
-                "decided_by": [
-                    (other.worker, round(now - other.noticed_at, 3), other.verdict)
-                    for other in crashes[-MAX_LOGGED_ITEMS:]
-                ],
-            },
+            "restart is delayed",
+            extra={**self._describe(task, crash), "delay": delay_seconds},
         )
-        self._fail_job(step.job)
+
+    def _describe(self, task: Task, crash: Crash) -> dict[str, object]:
+        """Return the fields of a log line on a task and the crashes under it."""
+        now = asyncio.get_running_loop().time()
+        crashes = self._history.of_task(task.id)
+        return {
+            "job": task.id.job,
+            "task": str(task.id),
+            "run": task.run,
+            "worker": crash.worker,
+            "crashes": task.crashes.suspected,
+            "attributed": task.crashes.attributed,
+            "coincident": task.crashes.coincident,
+            "decided_by": [
+                (other.worker, round(now - other.noticed_at, 3), other.verdict)
+                for other in crashes[-MAX_LOGGED_ITEMS:]
+            ],
+        }
 
     def _log_crash(self, crash: Crash) -> None:
         kind = "attributed" if crash.is_attributed else "not_attributed"
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -22,6 +22,7 @@
 )
 from savorydale.placement.failed_placements import FailedPlacements
 from savorydale.placement.isolation import SuspectIsolation
+from savorydale.placement.restart_delays import delayed_tasks
 from savorydale.placement.start_turns import StartTurns
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
 from savorydale.scheduler.fleet import Fleet, Fleets
@@ -261,39 +262,51 @@
         """Return the waiting tasks without suspects that must start at another time.
 
         The members of a gang start together, so they take no turns. All of them wait
-        while a crash is not judged yet of which one of them is a suspect.
+        while a crash is not judged yet of which one of them is a suspect, or while the
+        restart of one of them is delayed.
         """
         history = self._state.crash_history
-        unjudged = history.unjudged_tasks()
-        gangs = _gangs(waiting) if self._state.job_tracker.suspect_by_id else []
+        suspect_by_id = self._state.job_tracker.suspect_by_id
+        delayed = delayed_tasks(suspect_by_id, history, now)
+        not_yet = delayed | history.unjudged_tasks()
+        gangs = _gangs(waiting) if suspect_by_id else []
         members: set[TaskId] = set().union(*gangs)
         self._start_turns.begin_round(
-            {
-                name: task
-                for name, task in self._state.job_tracker.suspect_by_id.items()
-                if name not in members
-            },
-            unjudged,
+            {name: task for name, task in suspect_by_id.items() if name not in members},
+            not_yet,
             history.coincident_groups(),
             len(self._state.link_by_worker),
             now,
         )
         held = self._start_turns.held.union(
-            *(gang for gang in gangs if not unjudged.isdisjoint(gang))
+            *(gang for gang in gangs if not not_yet.isdisjoint(gang))
         )
         if not held:
             return waiting
         for step, tasks in waiting:
-            held_tasks = [task for task in tasks if task.id in held]
-            self.wait_decisions.record_skip(
-                step.spec, held_tasks, WaitReason.SUSPECT_WAITS_FOR_TURN, now
-            )
+            self._record_held(step, tasks, held - delayed, delayed, now)
         parts = [
             (step, [task for task in tasks if task.id not in held])
             for step, tasks in waiting
         ]
         return [part for part in parts if part[1]]
 
+    def _record_held(
+        self,
+        step: StepProgress,
+        tasks: list[Task],
+        held: set[TaskId],
+        delayed: set[TaskId],
+        now: float,
+    ) -> None:
+        names_by_reason = {
+            WaitReason.SUSPECT_WAITS_FOR_TURN: held,
+            WaitReason.RESTART_DELAYED: delayed,
+        }
+        for reason, names in names_by_reason.items():
+            held_tasks = [task for task in tasks if task.id in names]
+            self.wait_decisions.record_skip(step.spec, held_tasks, reason, now)
+
     def _begin_isolation(self, now: float) -> None:
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
--- a/savorydale/scheduler/waiting.py
+++ b/savorydale/scheduler/waiting.py
@@ -33,6 +33,7 @@
     COVERED = "covered_by_failed_placement"
     GANG_NOT_ENDED = "gang_members_not_ended"
     SUSPECT_WAITS_FOR_TURN = "suspect_waits_for_turn"
+    RESTART_DELAYED = "restart_delayed_after_crashes"
     # The task was tried, and no worker could take it.
     REFUSED = "refused_reason_not_found_yet"
     NO_CAPACITY = "no_capacity"
--- a/savorydale/tests/jobs/progress_tests.py
+++ b/savorydale/tests/jobs/progress_tests.py
@@ -2,9 +2,12 @@
 
 import time
 
+import pytest
+
 from savorydale.jobs.model import JobSpec, QueueSettings, StepSpec
 from savorydale.jobs.progress import JobProgress
 from savorydale.jobs.rows import JobRow, JobStatus
+from savorydale.placement.crashes import CrashCounts
 
 QUEUE = QueueSettings("q", "desk.example", "/q/", "desk")
 
@@ -23,6 +26,20 @@
     assert time.monotonic() - started_at < 0.5
 
 
+@pytest.mark.parametrize(
+    ("failures", "crashes"), [(2, CrashCounts()), (0, CrashCounts(2, 2))]
+)
+@pytest.mark.parametrize("is_long_running", [False, True])
+def test_only_batch_tasks_are_given_up(is_long_running, failures, crashes):
+    spec = JobSpec("x", (StepSpec(2, long_running=is_long_running),))
+    queue = QueueSettings("q", "s", "/q/", "s", max_attempts=2)
+    job = JobProgress("j", JobRow(spec, queue, 0), JobStatus.RUNNING, 0.0)
+    [step] = job.steps_of(0)
+    step.tasks[1].failures = failures
+    step.tasks[1].crashes = crashes
+    assert job.has_failed is not is_long_running
+
+
 def test_job_is_complete_once_every_occurrence_is_done_in_any_order():
     spec = JobSpec("", (StepSpec(1), StepSpec(2)), 0, 0, 4)
     job = JobProgress("j", JobRow(spec, QUEUE, 0), JobStatus.QUEUED, 0.0)
