Bound how long suspects of a service wait for isolation

Cause: suspects start one after the other, each on a worker of its own for the second of its probation, on half of the workers at most. Nothing bounded the wait of a task.

Change: a long-running suspect that finds no such worker 6 s after its crash, though one has capacity, and has waited for one for 1.5 s, starts beside others (placement/isolation_waits.py). A suspect that waited for capacity only is still isolated. It works since a long-running task is never given up, so crashes beside others do its job no harm; batch tasks wait as before. A replica that crashes its workers is still found, since those cleared meanwhile are no suspects of its next crash (test_replica_that_crashes_its_workers_is_told_from_others).

Its assertion is unchanged.

--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -22,6 +22,7 @@
 )
 from savorydale.placement.failed_placements import FailedPlacements
 from savorydale.placement.isolation import SuspectIsolation
+from savorydale.placement.isolation_waits import IsolationWaits
 from savorydale.placement.restart_delays import delayed_tasks
 from savorydale.placement.start_turns import StartTurns
 from savorydale.queueing.order import PlacementRank, rank_replicas, rank_step
@@ -97,6 +98,7 @@
         self._scores = WorkerScores(state)
         self.wait_decisions = WaitDecisions(self._configuration_version)
         self._isolation = SuspectIsolation()
+        self._isolation_waits = IsolationWaits()
         self._refusals = Refusals(state, self._isolation, self.wait_decisions)
         self._start_turns = StartTurns()
         self._counts = PlanningCounts()
@@ -311,13 +313,27 @@
         run_by_task_by_worker = {
             link.worker: link.run_by_task for link in self._state.links
         }
+        suspect_by_id = self._state.job_tracker.suspect_by_id
+        self._isolation_waits.retain(
+            {name for name, task in suspect_by_id.items() if task.is_waiting}
+        )
         suspects = {
             name: task
-            for name, task in self._state.job_tracker.suspect_by_id.items()
+            for name, task in suspect_by_id.items()
             if task.crashes.must_be_isolated or name in self._start_turns.small_turn
+            if not self._starts_beside_others(task, now)
         }
         self._isolation.begin_round(suspects, run_by_task_by_worker, now)
 
+    def _starts_beside_others(self, task: Task, now: float) -> bool:
+        """Return whether a suspect need not be isolated, or was not when it started."""
+        if task.is_waiting:
+            crashed_at = self._state.crash_history.latest_crash_at(task.id)
+            return self._isolation_waits.is_over(task.id, crashed_at, now)
+        link = self._state.link_by_worker.get(task.worker)
+        run = link.run_by_task.get(task.id) if link else None
+        return run is not None and run.spec.long_running and not run.is_isolated
+
     def _split_suspects(
         self, step: StepProgress, tasks: list[Task]
     ) -> list[tuple[StepProgress, list[Task]]]:
@@ -342,6 +358,8 @@
         takers = self._find_takers(step, tasks, fleet, now)
         if takers:
             self._isolation.reserve(tasks[0], step.spec, takers)
+            if step.spec.long_running:
+                self._isolation_waits.record(tasks[0].id, now)
         return False
 
     def _find_takers(
--- a/savorydale/tests/coincident_crashes_tests.py
+++ b/savorydale/tests/coincident_crashes_tests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from savorydale.jobs.model import StepSpec
-from savorydale.jobs.rows import JobStatus
+from savorydale.jobs.rows import JobStatus, decode_step
 from savorydale.tests.branch import Branch, open_branch
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.service_watch import MAX_AWAY_SECONDS
@@ -232,6 +232,22 @@
 # The other side: tasks that do crash their workers.
 
 
+@pytest.mark.parametrize(("count", "workers"), [(6, 1), (12, 1), (12, 2), (24, 2)])
+@on_virtual_time
+async def test_replica_that_crashes_its_workers_is_told_from_others(count, workers):
+    def suspects():
+        rows = decode_step(branch.store.value("steps", f"{SERVICE_JOB}.0.0"))
+        return [index for index, row in enumerate(rows) if row.crashes.is_suspect]
+
+    async with open_branch(deadly_plan([SERVICE_JOB]), workers=workers) as branch:
+        service = SERVICE._replace(task_count=count)
+        branch.checker.add_job(SERVICE_JOB, [service], attempts=2)
+        await branch.submit("e0", SERVICE_JOB, service)
+        await branch.wait_until(lambda: branch.checker.crashes.total() >= 3, 60)
+        await branch.wait_until(lambda: suspects() == [0], 60)
+        assert await branch.status("e0", SERVICE_JOB) is JobStatus.RUNNING
+
+
 async def any_status(branch, job):
     return await branch.status(next(iter(branch.entry_by_name)), job)
 
--- a/savorydale/tests/scheduler/planner_fixture.py
+++ b/savorydale/tests/scheduler/planner_fixture.py
@@ -10,6 +10,7 @@
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import PolicyAnswer
+from savorydale.placement.crash_history import Crash, CrashVerdict
 from savorydale.scheduler import planner as planner_module
 from savorydale.scheduler import worker_scores as worker_scores_module
 from savorydale.scheduler.planner import Planner, PlannerLimits
@@ -123,10 +124,15 @@
 
 
 def suspect(fixture, job, index=0):
-    """Make a task of a job the only suspect of a crash."""
+    """Make a task of a job the only suspect of a crash that was just noticed."""
     [step] = job.steps_of(0)
-    fixture.state.job_tracker.record_crash(step, step.tasks[index], "w9", True)
-    return step.tasks[index].id
+    task = step.tasks[index]
+    fixture.state.job_tracker.record_crash(step, task, "w9", True)
+    now = asyncio.get_running_loop().time()
+    crash = Crash("w9", now, {task.id}, {task.id: task.run}, is_alone=True)
+    crash.verdict = CrashVerdict.ONLY_SUSPECT
+    fixture.state.crash_history.add(crash)
+    return task.id
 
 
 def clear_runs(fixture, *workers):
--- a/savorydale/tests/scheduler/planner_tests.py
+++ b/savorydale/tests/scheduler/planner_tests.py
@@ -8,6 +8,7 @@
 from savorydale.orders.runs import Run
 from savorydale.placement.advice import MAX_PENDING_QUERIES
 from savorydale.placement.choice import MIN_BACKFILL_SPEED
+from savorydale.placement.isolation_waits import MAX_SECONDS_AFTER_CRASH
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.scheduler.planner_fixture import (
     ADVISED,
@@ -158,6 +159,18 @@
     assert [start.run.task.job for start in starts] == ["j"]
 
 
+@on_virtual_time
+async def test_long_running_suspect_starts_beside_others_some_time_after_the_crash():
+    fixture = PlannerFixture(workers=1)
+    suspect(fixture, fixture.submit("j", SERVICE))
+    assert await fixture.plan(MAX_SECONDS_AFTER_CRASH - 0.1) == []
+    [start] = await fixture.plan(0.3)
+    assert not start.run.is_isolated
+    fixture.submit("k", SERVICE)
+    [start] = await fixture.plan(0.1)
+    assert start.run.task.job == "k"
+
+
 @on_virtual_time
 async def test_gang_with_a_suspect_is_placed_without_enough_workers_for_isolation():
     fixture = PlannerFixture(workers=2)
