Show a job as running only if a worker may have begun it

Seen by callers: while workers answer 503 to starts, jobs that have not begun are shown as running, and GET PREFIX gives 0 as pending. Cause: a job's state became running with its assignment, and nothing set it back when the start was refused. Change: a run that certainly never began (refused, never sent, or missing under a newer token in the same incarnation) makes its job queued again, unless another task of it may have begun. Such a job is running again once a worker confirms a run; an end, or a lost run that may have begun, counts as begun. Jobs whose first start succeeds cost no further write. Why it works: the pending count and the summary count queued jobs, and those are now the jobs of which no worker can have begun a task. Two listeners of tests have the new method on_confirmed.

--- a/savorydale/jobs/progress.py
+++ b/savorydale/jobs/progress.py
@@ -102,13 +102,17 @@
 
     ``added_at`` is when the scheduler first knew of it, on the loop's clock.
     ``critical_path_seconds`` is the estimated run time of the longest chain of
-    dependent steps.
+    dependent steps. ``has_begun`` is true if a worker may have begun a task of the job.
+    ``was_start_refused`` is true if a start was refused before that; the job is then
+    shown as running only once a worker has begun a task.
     """
 
     def __init__(self, job: str, row: JobRow, status: JobStatus, added_at: float):
         self.id = job
         self.row = row
         self.status = status
+        self.has_begun = status is not JobStatus.QUEUED
+        self.was_start_refused = False
         self.added_at = added_at
         self._critical_path_seconds_by_step = row.spec.critical_path_seconds_by_step()
         self.critical_path_seconds = max(
--- a/savorydale/jobs/tracker.py
+++ b/savorydale/jobs/tracker.py
@@ -103,10 +103,32 @@
         task.worker = worker
         step.has_started = True
         self._changed_steps[step.key] = step
-        if step.job.status is JobStatus.QUEUED:
-            self._set_status(step.job, JobStatus.RUNNING, 0)
+        if not step.job.was_start_refused:
+            self._show_as_running(step.job)
         return task.run
 
+    def record_begin(self, job: JobProgress) -> None:
+        """Record that a worker has, or may have, begun a task of ``job``."""
+        job.has_begun = True
+        self._show_as_running(job)
+
+    def _show_as_running(self, job: JobProgress) -> None:
+        if job.status is JobStatus.QUEUED:
+            self._set_status(job, JobStatus.RUNNING, 0)
+
+    def release_unstarted(self, task: Task, step: StepProgress, now: float) -> None:
+        """Record that the latest run of ``task`` certainly never began.
+
+        The job is pending again unless another run of it may have begun.
+        """
+        self.release(task, step, now)
+        job = step.job
+        if job.has_begun:
+            return
+        job.was_start_refused = True
+        if job.status is JobStatus.RUNNING:
+            self._set_status(job, JobStatus.QUEUED, 0)
+
     def release(self, task: Task, step: StepProgress, now: float) -> None:
         """Record that the latest run of ``task`` is known to be over."""
         task.worker = ""
@@ -119,6 +141,7 @@
         if found is None:
             return EndEffect.STALE
         step, task = found
+        self.record_begin(step.job)
         if task.done or task.run != end.run or task.worker not in ("", worker):
             return EndEffect.STALE
         if not task.worker and end.reason is not EndReason.DONE:
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -74,6 +74,9 @@
     def on_lost(self, link: "WorkerLink", run: Run, reason: str) -> None:
         """Handle a run that does not exist and never will again."""
 
+    def on_confirmed(self, link: "WorkerLink", run: Run) -> None:
+        """Handle the first evidence that the worker has begun the run."""
+
     def on_started(self, link: "WorkerLink", run: Run) -> None:
         """Handle a start order that the worker has accepted."""
 
@@ -151,6 +154,7 @@
         self._crash_candidates: list[Run] = []
         self._failure: BaseException | None = None
         self._unanswered_renewals = 0
+        self._incarnation_known_at = 0.0  # on the loop's clock
 
     @property
     def worker(self) -> str:
@@ -471,6 +475,8 @@
         """
         is_resolved = run.state is RunState.UNKNOWN and token >= run.resolving_token
         is_vanished = run.state is RunState.ACTIVE and run.confirmed_at < sent_at
+        if is_resolved and (run.start_sent_at or 0.0) > self._incarnation_known_at:
+            run.start_sent_at = None  # no earlier incarnation can have begun it
         if is_resolved or is_vanished:
             self._drop_run(run, "not started" if is_resolved else "vanished")
 
@@ -579,6 +585,7 @@
         list. Orders that were not sent yet are sent to the new incarnation.
         """
         log.info("worker was restarted", extra=self._extra(born_ms=born_ms))
+        self._incarnation_known_at = asyncio.get_running_loop().time()
         self.processed_number = 0
         self.acknowledged_number = 0
         self._lease_clock.reset_leases()
@@ -753,6 +760,7 @@
         if run.state is not RunState.ACTIVE:
             run.state = RunState.ACTIVE
             run.confirmed_at = asyncio.get_running_loop().time()
+            self._listener.on_confirmed(self, run)
 
     def _unresolved_runs(self) -> list[Run]:
         return [
--- a/savorydale/scheduler/term.py
+++ b/savorydale/scheduler/term.py
@@ -14,7 +14,7 @@
 from savorydale.counters import Counters
 from savorydale.exceptions import StoreUnreachableError
 from savorydale.jobs.model import JOB_ID, Configuration
-from savorydale.jobs.progress import JobProgress, Task
+from savorydale.jobs.progress import JobProgress, StepProgress, Task
 from savorydale.jobs.rows import (
     JOBS_TABLE,
     STEPS_TABLE,
@@ -386,12 +386,19 @@
             return
         step, task = found
         if task.worker == link.worker and task.run == run.number:
-            self._state.job_tracker.release(
-                task, step, asyncio.get_running_loop().time()
-            )
+            self._release(run, task, step)
         self._state.job_tracker.remove_if_idle(step.job)
         self.wake()
 
+    def _release(self, run: Run, task: Task, step: StepProgress) -> None:
+        tracker = self._state.job_tracker
+        now = asyncio.get_running_loop().time()
+        if run.start_sent_at is None:
+            tracker.release_unstarted(task, step, now)
+            return
+        tracker.record_begin(step.job)  # nothing shows that the worker did not begin it
+        tracker.release(task, step, now)
+
     def on_crash(self, link: WorkerLink, suspects: list[Run]) -> None:
         """Count the crash of a worker against the tasks that may have caused it."""
         self._crash_handler.on_crash(link, suspects)
@@ -410,6 +417,13 @@
         self._finish(job, JobStatus.FAILED)
         self._state.job_tracker.remove_if_idle(job)
 
+    def on_confirmed(self, link: WorkerLink, run: Run) -> None:
+        """Show the run's job as running."""
+        job = self._state.job_tracker.job_by_id.get(run.task.job)
+        if job is not None and not job.has_begun:
+            self._state.job_tracker.record_begin(job)
+            self.wake()
+
     def on_started(self, link: WorkerLink, run: Run) -> None:
         """Throttle new backfill at once if the services on the worker require it."""
         if not run.spec.backfill:
--- a/savorydale/tests/orders/lapse_tests.py
+++ b/savorydale/tests/orders/lapse_tests.py
@@ -56,6 +56,9 @@
     def on_lost(self, link, run, reason):
         self.lost_at.append(asyncio.get_running_loop().time())
 
+    def on_confirmed(self, link, run):
+        pass
+
     def on_started(self, link, run):
         pass
 
--- a/savorydale/tests/orders/worker_link_tests.py
+++ b/savorydale/tests/orders/worker_link_tests.py
@@ -74,6 +74,9 @@
     def on_lost(self, link, run, reason):
         self.lost.append(run.task.index)
 
+    def on_confirmed(self, link, run):
+        pass
+
     def on_started(self, link, run):
         pass
 
