Submit jobs until the last worker of the odd registrations soak has joined

Cause: the soak's events take 9.2 s, and jobs were submitted for 8 s only. w9 joined as the submissions ended, so it got a task only if some were left over. Change: jobs are submitted for 12 s, and the soak reports a violation if its events took longer than the submissions. No check is relaxed: that w9 gets a task is still required, and the new violation is one more. Product unchanged.

--- a/savorydale/tests/odd_registrations_soak.py
+++ b/savorydale/tests/odd_registrations_soak.py
@@ -22,7 +22,7 @@
 
 LEASE_MAX_MS = 8_000  # no run ends with its lease at the takeover
 CHANGE_INTERVAL_SECONDS = 0.05
-RUN_SECONDS = 8.0
+RUN_SECONDS = 12.0  # longer than the events take
 STEP_SECONDS = 1.0  # between the events of a run
 NOTICE_SECONDS = 0.6  # until a changed registration is certainly followed
 READY_CHECK_SECONDS = 0.2
@@ -94,7 +94,7 @@
                 group.create_task(self._change_rows_until(end_at))
                 group.create_task(self._check_readiness_until(end_at))
                 group.create_task(self._send_odd_bodies_until(end_at))
-                group.create_task(self._play(stack))
+                group.create_task(self._play(stack, end_at))
             self._register(COPIED_WORKER)
             await self._check_final_state()
             for name in JOINING_WORKERS:
@@ -122,7 +122,7 @@
 
     # Events
 
-    async def _play(self, stack: contextlib.AsyncExitStack) -> None:
+    async def _play(self, stack: contextlib.AsyncExitStack, end_at: float) -> None:
         await asyncio.sleep(STEP_SECONDS)
         await self._add_worker(JOINING_WORKERS[0], stack)
         await self._drain_for_a_while()
@@ -136,6 +136,11 @@
         await self._add_worker(JOINING_WORKERS[1], stack)
         await asyncio.sleep(STEP_SECONDS)
         self._copies_are_odd = True
+        # Otherwise only tasks left over from earlier could run on the last worker.
+        self._expect(
+            asyncio.get_running_loop().time() < end_at,
+            "no jobs were submitted while the last worker joined",
+        )
 
     async def _drain_for_a_while(self) -> None:
         """Drain a worker; one without a service, whose tasks would move."""
