Count several failed tasks of a job if others of its step are done

Cause: each job counts once against a worker, since a job may fail anywhere, and the few jobs of a full fleet have many tasks. Repeated failures that do not count as evidence still raise the share that fails elsewhere. Change: if other tasks of its step are done, a job does not fail as a whole, so each of its tasks counts once. What counts once as evidence counts once in the share elsewhere.

--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -37,13 +37,14 @@
 class WorkerHealth:
     """Failures and quarantine of one worker; times are on the loop's clock.
 
-    ``evidence`` is the sum of the sequential test; each job in ``failed_jobs`` counts
-    once, since its tasks may fail anywhere. ``failed_tasks`` have failed since the
-    worker last seemed sound. ``stall_ends_at`` is when a quarantine because of stalled
-    runs ends, and ``quarantine_ends_at`` one because of failures.
+    ``evidence`` is the sum of the sequential test; each cause in ``failed_causes``
+    counts once: a task, or a job whose tasks may all fail anywhere. ``failed_tasks``
+    have failed since the worker last seemed sound. ``stall_ends_at`` is when a
+    quarantine because of stalled runs ends, and ``quarantine_ends_at`` one because of
+    failures.
     """
 
-    failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    failed_causes: set[str] = dataclasses.field(default_factory=set)
     failed_tasks: set[TaskId] = dataclasses.field(default_factory=set)
     evidence: float = 0.0
     quarantine_ends_at: float = 0.0
@@ -51,10 +52,21 @@
     suspicion: float = 0.0
     suspicion_updated_at: float = 0.0
 
-    def on_end(self, end: EndedRun, failure_ratio_elsewhere: float, now: float) -> bool:
+    def is_repeated_failure(self, end: EndedRun, cause: str) -> bool:
+        """Return whether a run fails for a cause that counts already."""
+        return end.reason is EndReason.FAILED and cause in self.failed_causes
+
+    def on_end(
+        self,
+        end: EndedRun,
+        failure_ratio_elsewhere: float,
+        now: float,
+        cause: str = "",
+    ) -> bool:
         """Record the end of a run; return whether a quarantine begins.
 
         ``failure_ratio_elsewhere`` is the share of runs that fail on other workers.
+        ``cause`` is what may fail anywhere, the job unless given.
         """
         sound_ratio = min(
             max(failure_ratio_elsewhere, MIN_SOUND_FAILURE_RATIO),
@@ -66,7 +78,7 @@
                 return False
             case EndReason.FAILED:
                 self.failed_tasks.add(end.task)
-                return self._on_failure(end.task.job, sound_ratio, now)
+                return self._on_failure(cause or end.task.job, sound_ratio, now)
         return False
 
     def _on_done(self, sound_ratio: float) -> None:
@@ -74,19 +86,19 @@
         self.evidence += math.log((1 - FAULTY_FAILURE_RATIO) / (1 - sound_ratio))
         if self.evidence <= 0.0:
             self.evidence = 0.0
-            self.failed_jobs.clear()
+            self.failed_causes.clear()
             self.failed_tasks.clear()
 
-    def _on_failure(self, job: str, sound_ratio: float, now: float) -> bool:
+    def _on_failure(self, cause: str, sound_ratio: float, now: float) -> bool:
         self.suspicion = self.suspicion_now(now) + SUSPICION_PER_FAILURE
         self.suspicion_updated_at = now
-        if job in self.failed_jobs:
+        if cause in self.failed_causes:
             return False
-        self.failed_jobs.add(job)
+        self.failed_causes.add(cause)
         self.evidence += math.log(FAULTY_FAILURE_RATIO / sound_ratio)
         if self.evidence < QUARANTINE_EVIDENCE:
             return False
-        self.failed_jobs.clear()
+        self.failed_causes.clear()
         self.evidence = EVIDENCE_AFTER_QUARANTINE
         self.quarantine_ends_at = now + FAILURE_QUARANTINE_SECONDS
         return True
--- a/savorydale/scheduler/state.py
+++ b/savorydale/scheduler/state.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from savorydale.jobs.model import TaskId
 from savorydale.jobs.rows import MAX_ROW_BYTES
 from savorydale.jobs.tracker import JobTracker
 from savorydale.orders.interface import EndedRun, EndReason
@@ -86,13 +87,26 @@
         )
         health = self.health_of(link.worker)
         ratio = rates.ratio_elsewhere(link.worker, now)
-        begins_quarantine = health.on_end(end, ratio, now)
+        cause = self._failure_cause(end.task)
+        is_repeated = health.is_repeated_failure(end, cause)
+        begins_quarantine = health.on_end(end, ratio, now, cause)
         if health.is_quarantined(now):
             rates.forget(link.worker, now)
-        elif end.reason in (EndReason.DONE, EndReason.FAILED):
+        elif end.reason in (EndReason.DONE, EndReason.FAILED) and not is_repeated:
             rates.record(link.worker, end.reason is EndReason.FAILED, now)
         return EndVerdict(begins_quarantine, ratio)
 
+    def _failure_cause(self, task: TaskId) -> str:
+        """Return what may make a task fail anywhere: itself, or its whole job.
+
+        If other tasks of its step are done, its job does not fail as a whole.
+        """
+        found = self.job_tracker.find_task(task)
+        if found is None:
+            return task.job
+        step, _ = found
+        return str(task) if step.unfinished_count < step.spec.task_count else task.job
+
     def write(self, name: RowKey, value: bytes | None) -> None:
         """Write a row with the next commit, or delete it if ``value`` is ``None``."""
         self._write_by_row[name] = RowWrite(name, value)
--- a/savorydale/tests/placement/health_tests.py
+++ b/savorydale/tests/placement/health_tests.py
@@ -74,6 +74,23 @@
     )
 
 
+def test_failures_of_several_tasks_count_if_their_job_does_not_fail_as_a_whole():
+    health = WorkerHealth()
+    quarantines = [
+        health.on_end(make_end("j1"), ORDINARY_RATIO, 1.0, cause=f"j1.0.0.{index}")
+        for index in range(6)
+    ]
+    assert any(quarantines)
+
+
+def test_failures_of_one_task_begin_no_quarantine():
+    health = WorkerHealth()
+    assert not any(
+        health.on_end(make_end("j1"), ORDINARY_RATIO, now, cause="j1.0.0.0")
+        for now in range(50)
+    )
+
+
 def test_success_clears_suspicion():
     health = WorkerHealth()
     health.on_end(make_end("j1"), ORDINARY_RATIO, 1.0)
