Let a failed task wait for another worker

Cause: on a full fleet a faulty worker is the one with capacity, since its runs end at once. A failed task goes back to it every 0.05 s and uses up its attempts there before the worker is quarantined. Change: for 1.5 s after a failure, a task is not placed where it has failed, if its service has any other worker. Gangs are left out.

--- a/savorydale/placement/choice.py
+++ b/savorydale/placement/choice.py
@@ -174,24 +174,39 @@
             if candidate.load.revision != self._revisions[index]
         ]
 
-    def choose(self, task: Task) -> Candidate | None:
+    @property
+    def has_workers(self) -> bool:
+        """Return whether any worker can take one more task of the step."""
+        return any(self._holds(each) for each in self._scored_heap)
+
+    def choose(
+        self, task: Task, avoided: frozenset[str] = frozenset()
+    ) -> Candidate | None:
         """Return the best worker for a task, or ``None`` if no worker can take it.
 
         The worker is excluded from later choices until `record_placement` is called.
+        Workers in ``avoided`` are not chosen.
         """
-        best = self._take_best(task)
+        best = self._take_best(task, avoided)
         if best is None:
             return None
         self._chosen_index = best.candidate_index
         return self._candidates[best.candidate_index]
 
-    def _take_best(self, task: Task) -> ScoredWorker | None:
+    def _take_best(self, task: Task, avoided: frozenset[str]) -> ScoredWorker | None:
         if task.excluded_workers:
             self._scored_heap = [
                 each for each in self._scored_heap if self._holds(each)
             ]
-            self._scored_heap.sort(key=lambda scored: -self._score_for(scored, task))
-            best = self._scored_heap.pop(0) if self._scored_heap else None
+            open_workers = [
+                each
+                for each in self._scored_heap
+                if self._candidates[each.candidate_index].worker not in avoided
+            ]
+            if not open_workers:
+                return None
+            best = max(open_workers, key=lambda scored: self._score_for(scored, task))
+            self._scored_heap.remove(best)
             heapq.heapify(self._scored_heap)
             return best
         while self._scored_heap:
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -41,6 +41,8 @@
 TURN_RATIO = 0.3
 MIN_TURNS = 5  # of each round: a step of each kind
 MIN_PLACING_SECONDS = 0.025  # of each round, however long the ranking takes
+# A task that has failed on a worker waits so long for another one.
+RETRY_ELSEWHERE_SECONDS = 1.5
 MAX_IDLE_SECONDS = 2.0  # of a job without a running task
 MILLISECONDS_PER_SECOND = 1000
 
@@ -584,6 +586,8 @@
     ) -> bool:
         """Place as many tasks of a step as fit; return whether all of them do.
 
+        Tasks that fit only where they have failed do not count for some time.
+
         If backfill may start below `MIN_BACKFILL_SPEED`, at most one task is placed,
         or one gang; see `_min_speed`.
         """
@@ -595,8 +599,13 @@
             self._counts.count_refusal(step.spec, [])
             return False
         chosen: list[tuple[Task, Run, WorkerLink]] = []
+        postponed_count = 0
         for task in tasks:
-            candidate = scored.chooser.choose(task)
+            avoided = _workers_to_avoid(step, task, fleet, now)
+            candidate = scored.chooser.choose(task, avoided)
+            if candidate is None and avoided and scored.chooser.has_workers:
+                postponed_count += 1
+                continue
             if candidate is None:
                 self._counts.count_refusal(step.spec, scored.candidates)
                 break
@@ -617,7 +626,7 @@
             self._start_turns.record_start(task.id, now)
             self._assign(step, task, run, link, fleet.is_last_resort)
         self._counts.tasks_placed += len(chosen)
-        return len(chosen) == len(tasks)
+        return len(chosen) + postponed_count == len(tasks)
 
     def _configuration_version(self) -> int:
         configuration = self._read_configuration()
@@ -660,6 +669,26 @@
         )
 
 
+def _workers_to_avoid(
+    step: StepProgress, task: Task, fleet: Fleet, now: float
+) -> frozenset[str]:
+    """Return the workers on which a task has failed, if another one may take it soon.
+
+    A worker on which it failed may fail all tasks, and would use up its attempts.
+    """
+    excluded = task.excluded_workers
+    if not excluded or step.spec.gang:
+        return frozenset()
+    if now >= task.wait_started_at + RETRY_ELSEWHERE_SECONDS:
+        return frozenset()
+    label = step.spec.required_label
+    has_others = any(
+        each.worker not in excluded and label in ("", *each.labels)
+        for each in fleet.all_candidates
+    )
+    return excluded if has_others else frozenset()
+
+
 def _gangs(waiting: list[tuple[StepProgress, list[Task]]]) -> list[set[TaskId]]:
     """Return the waiting members of each gang."""
     return [{task.id for task in tasks} for step, tasks in waiting if step.spec.gang]
