Give draining workers leases of six seconds at most

Cause: a worker that was known to leave got leases as long as the platform allows, 10 s there, until it left. Change: a draining worker's leases are of 6 s at most. Why it works: no earlier lease is in force once it has drained for some seconds, so its tasks wait for the short one only. A draining worker that is cut off for 6 s loses its runs, which it would lose soon anyway.

--- a/savorydale/orders/lease_clock.py
+++ b/savorydale/orders/lease_clock.py
@@ -6,6 +6,8 @@
 LAPSE_MARGIN_SECONDS = 0.2
 EARLIER_HOLDER_MARGIN_SECONDS = 0.3  # its last extensions, and the worker's clock
 MAX_EXTENSION_SECONDS = 2.0  # after the last response of the worker
+# A draining worker leaves soon, and what still runs there waits for its lease.
+DRAINING_LEASE_SECONDS = 6.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -37,18 +39,22 @@
         self._lease_end_ms = 0
         self._earlier_lapse_at = self._created_at
 
-    def next_lease_end_ms(self) -> int | None:
+    def next_lease_end_ms(self, is_draining: bool) -> int | None:
         """Return the lease end to request, or ``None`` if the clock is unknown.
 
-        It is at most that of `MAX_EXTENSION_SECONDS` after the last response, because
-        the tasks of a worker that has ended wait for the lapse.
+        A draining worker gets leases of at most `DRAINING_LEASE_SECONDS`. The end is at
+        most that of `MAX_EXTENSION_SECONDS` after the last response, because the tasks
+        of a worker that has ended wait for the lapse.
         """
         if self._clock_ms is None:
             return None
         elapsed_seconds = asyncio.get_running_loop().time() - self._clock_read_at
         elapsed_seconds = min(elapsed_seconds, MAX_EXTENSION_SECONDS)
         clock_ms = self._clock_ms + elapsed_seconds * MILLISECONDS_PER_SECOND
-        end_ms = int(clock_ms + self._lease_max_ms)
+        lease_ms = self._lease_max_ms
+        if is_draining:
+            lease_ms = min(lease_ms, DRAINING_LEASE_SECONDS * MILLISECONDS_PER_SECOND)
+        end_ms = int(clock_ms + lease_ms)
         self._lease_end_ms = max(self._lease_end_ms, end_ms)
         return end_ms
 
--- a/savorydale/orders/worker_link.py
+++ b/savorydale/orders/worker_link.py
@@ -269,7 +269,7 @@
             return None
         if not self._extension.is_allowed():
             return None
-        return self._lease_clock.next_lease_end_ms()
+        return self._lease_clock.next_lease_end_ms(self.info.is_draining)
 
     # Renewal loop
 
--- a/savorydale/tests/service_recovery_tests.py
+++ b/savorydale/tests/service_recovery_tests.py
@@ -16,7 +16,7 @@
 from savorydale.tests.frozen_entries import slow_down
 from savorydale.tests.harness import on_virtual_time
 from savorydale.tests.recovery import EQUAL_PAIR, SERVICE, recovering
-from standins.task_worker import CRASHED_SECONDS, Plan
+from standins.task_worker import CRASHED_SECONDS, INITIAL_CAPACITY, Plan
 
 LEASE_SECONDS = LEASE_MAX_MS / 1000
 STORE_GRACE_SECONDS = 2.0  # registrations are back this long after the store
@@ -409,3 +409,30 @@
                 await recovery.branch.kill_entry(recovery.holder)
 
     run()
+
+
+@pytest.mark.parametrize("is_silent", [False, True], ids=["refusing", "silent"])
+@pytest.mark.parametrize("lease_max_ms", [6_000, 10_000, 30_000])
+def test_tasks_are_back_if_a_drained_worker_leaves_with_them(
+    lease_max_ms, is_silent, monkeypatch
+):
+    """Guards against a wait for the long lease of a worker that was known to leave."""
+    monkeypatch.setattr(branch_module, "LEASE_MAX_MS", lease_max_ms)
+
+    @on_virtual_time
+    async def run():
+        async with recovering() as recovery:
+            branch = recovery.branch
+            others = [name for name in branch.worker_by_name if name != "w0"]
+            for name in others:
+                branch.set_capacity(name, cpu=100)  # no task finds another place
+            branch.register("w0", "draining")
+            await asyncio.sleep(lease_max_ms / 1000 + 1.0)
+            with recovery.disturbances.disturbed():
+                recovery.cut_workers(recovery.entries, ["w0"], is_cut=is_silent)
+                branch.worker_by_name["w0"].crash(restarts=False)
+                branch.store.delete("servers", "w0")
+            for name in others:
+                branch.set_capacity(name, cpu=INITIAL_CAPACITY["cpu"])
+
+    run()
