Do not quarantine workers for a task that stalls on several of them

Seen by callers: one task that never progresses, wherever it runs, leaves one sound worker after the other out for 1.5 s. Evidence: stuck_task_tests.py, 4 workers, 20 s: 14 quarantines, 2 are allowed. Change: a task that has stalled on two workers is the cause itself, and quarantines none any more. It is moved on as before. Tests: stuck_task_tests.py failed before, passes now.

--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savorydale.counters import Counters
-from savorydale.jobs.model import StepSpec
+from savorydale.jobs.model import StepSpec, TaskId
 from savorydale.orders.runs import Run
 from savorydale.orders.worker_link import WorkerLink
 from savorydale.placement.advice import StepName
@@ -101,6 +101,7 @@
         self._state = state
         self._counters = counters
         self._checked_at = 0.0
+        self._stalled_on_by_task: dict[TaskId, set[str]] = {}
 
     def move_runs(self) -> None:
         """Stop all runs to be moved, at most once per `CHECK_INTERVAL_SECONDS`."""
@@ -140,6 +141,7 @@
     def _move_stalled_runs(self) -> None:
         """Stop runs without progress, and quarantine their workers for a while."""
         now = asyncio.get_running_loop().time()
+        self._forget_unknown_tasks()
         for link in self._state.links:
             if not link.is_in_contact(now):
                 continue
@@ -148,11 +150,29 @@
             stalled = find_stalled_runs(_runs_with_cpu(link), reported_at)
             if not stalled:
                 continue
-            if self._state.health_of(link.worker).on_stall(now):
+            if self._may_be_worker(link, stalled) and (
+                self._state.health_of(link.worker).on_stall(now)
+            ):
                 self._record_stall(link, stalled, reported_at)
             for run in stalled:
                 self._move(link, run, "the run makes no progress")
 
+    def _forget_unknown_tasks(self) -> None:
+        """Forget the stalls of tasks whose jobs are over."""
+        for task in list(self._stalled_on_by_task):
+            if self._state.job_tracker.find_task(task) is None:
+                del self._stalled_on_by_task[task]
+
+    def _may_be_worker(self, link: WorkerLink, stalled: list[Run]) -> bool:
+        """Return whether a worker may be the cause of its stalled runs.
+
+        It is not if all of their tasks have stalled on other workers as well.
+        """
+        for run in stalled:
+            workers = self._stalled_on_by_task.setdefault(run.task, set())
+            workers.add(link.worker)
+        return any(len(self._stalled_on_by_task[run.task]) == 1 for run in stalled)
+
     def _record_stall(
         self, link: WorkerLink, stalled: list[Run], reported_at: float
     ) -> None:
