--- a/savorydale/placement/health.py
+++ b/savorydale/placement/health.py
@@ -5,7 +5,8 @@
 
 Failures are judged by a sequential test (CUSUM): each end of a run adds the logarithm
 of how much likelier it is on a faulty worker than on a sound one, and the sum never
-falls below zero. A sound worker fails as many tasks as the others do now.
+falls below zero. A sound worker fails as many tasks as the others do now. The sum
+decays with time, so that rare failures never add up.
 """
 
 import dataclasses
@@ -18,9 +19,11 @@
 MILLISECONDS_PER_SECOND = 1000
 FAULTY_FAILURE_RATIO = 0.8  # share of the runs on a faulty worker that fail, or more
 MIN_SOUND_FAILURE_RATIO = 0.02
-MAX_SOUND_FAILURE_RATIO = 0.6  # so that a failure always speaks against its worker
+MAX_SOUND_FAILURE_RATIO = 0.75  # so that a failure always speaks against its worker
 ENDS_PER_FALSE_QUARANTINE = 1_000_000  # of a sound worker, on average
-QUARANTINE_EVIDENCE = math.log(ENDS_PER_FALSE_QUARANTINE)
+QUARANTINE_EVIDENCE = math.log(ENDS_PER_FALSE_QUARANTINE)  # if ends are independent
+EVIDENCE_HALF_LIFE_SECONDS = 10.0
+MIN_EVIDENCE = 0.5  # a weaker suspicion is dropped
 # A worker that fails again after its quarantine is quarantined sooner.
 EVIDENCE_AFTER_QUARANTINE = QUARANTINE_EVIDENCE / 2
 FAILURE_QUARANTINE_SECONDS = 4.0
@@ -41,12 +44,13 @@
     counts once: a task, or a job whose tasks may all fail anywhere. ``failed_tasks``
     have failed since the worker last seemed sound. ``stall_ends_at`` is when a
     quarantine because of stalled runs ends, and ``quarantine_ends_at`` one because of
-    failures.
+    failures. ``evidence`` is as of ``evidence_updated_at``.
     """
 
     failed_causes: set[str] = dataclasses.field(default_factory=set)
     failed_tasks: set[TaskId] = dataclasses.field(default_factory=set)
     evidence: float = 0.0
+    evidence_updated_at: float = 0.0
     quarantine_ends_at: float = 0.0
     stall_ends_at: float = 0.0
     suspicion: float = 0.0
@@ -72,6 +76,7 @@
             max(failure_ratio_elsewhere, MIN_SOUND_FAILURE_RATIO),
             MAX_SOUND_FAILURE_RATIO,
         )
+        self._decay_evidence(now)
         match end.reason:
             case EndReason.DONE:
                 self._on_done(sound_ratio)
@@ -85,9 +90,24 @@
         self.suspicion = 0.0
         self.evidence += math.log((1 - FAULTY_FAILURE_RATIO) / (1 - sound_ratio))
         if self.evidence <= 0.0:
-            self.evidence = 0.0
-            self.failed_causes.clear()
-            self.failed_tasks.clear()
+            self._clear_evidence()
+
+    def _clear_evidence(self) -> None:
+        self.evidence = 0.0
+        self.failed_causes.clear()
+        self.failed_tasks.clear()
+
+    def _decay_evidence(self, now: float) -> None:
+        half_lives = (now - self.evidence_updated_at) / EVIDENCE_HALF_LIFE_SECONDS
+        self.evidence *= 0.5**half_lives
+        self.evidence_updated_at = now
+        if self.evidence < MIN_EVIDENCE:
+            self._clear_evidence()
+
+    def has_failed(self, task: TaskId, now: float) -> bool:
+        """Return whether a task has failed since the worker last seemed sound."""
+        self._decay_evidence(now)
+        return task in self.failed_tasks
 
     def _on_failure(self, cause: str, sound_ratio: float, now: float) -> bool:
         self.suspicion = self.suspicion_now(now) + SUSPICION_PER_FAILURE
--- a/savorydale/scheduler/last_resort.py
+++ b/savorydale/scheduler/last_resort.py
@@ -23,14 +23,14 @@
         self._state = state
         self._isolation = isolation
         self._failed_placements = FailedPlacements()
+        self._now = 0.0
 
-    def begin_round(self) -> None:
+    def begin_round(self, now: float) -> None:
         """Forget what found no worker in the last round."""
         self._failed_placements = FailedPlacements()
+        self._now = now
 
-    def find_fleet(
-        self, waiting: WaitingTasks, fleet: Fleet, now: float
-    ) -> Fleet | None:
+    def find_fleet(self, waiting: WaitingTasks, fleet: Fleet) -> Fleet | None:
         """Return the workers that may take a task as a last resort, if there are any.
 
         Only replicas of services have a last resort, which wait one by one. A gang or a
@@ -40,7 +40,7 @@
         if not step.spec.long_running or step.spec.gang or waiting.is_suspect:
             return None
         [task] = waiting.tasks
-        if not task.is_waiting or not _is_overdue(step, task, now):
+        if not task.is_waiting or not _is_overdue(step, task, self._now):
             return None
         if self._failed_placements.covers(fleet.service, step.spec, 0.0):
             return None
@@ -82,7 +82,8 @@
     def _has_failed_on(self, task: Task, candidate: Candidate) -> bool:
         if candidate.worker in task.excluded_workers:
             return True
-        return task.id in self._state.health_of(candidate.worker).failed_tasks
+        health = self._state.health_of(candidate.worker)
+        return health.has_failed(task.id, self._now)
 
 
 def _is_overdue(step: StepProgress, task: Task, now: float) -> bool:
--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -155,7 +155,7 @@
         self._counts.steps_waiting += len(ranked)
         self._turns.begin_round((each.key for each in ranked), now)
         self._refusals.begin_round((each.key for each in ranked), fleets)
-        self._last_resort.begin_round()
+        self._last_resort.begin_round(now)
         this_round = PlanningRound(now, fleets, FailedPlacements())
         is_complete = self._plan_ranked(ranked, this_round)
         self._scores.clear()
@@ -224,7 +224,7 @@
     ) -> bool:
         """Place an overdue service that has no other place; return whether it is."""
         now, step = this_round.now, waiting.step
-        last_resort = self._last_resort.find_fleet(waiting, fleet, now)
+        last_resort = self._last_resort.find_fleet(waiting, fleet)
         if last_resort is None:
             return False
         if self._place_allowed(step, waiting.tasks, last_resort, now):
