--- a/savorydale/scheduler/planner.py
+++ b/savorydale/scheduler/planner.py
@@ -30,6 +30,7 @@
 from savorydale.scheduler.last_resort import LastResort
 from savorydale.scheduler.planning_counts import PlanningCounts
 from savorydale.scheduler.refusals import Refusals
+from savorydale.scheduler.retry_elsewhere import workers_to_avoid
 from savorydale.scheduler.state import SchedulerState
 from savorydale.scheduler.turns import Turns, WaitingTasks
 from savorydale.scheduler.waiting import WaitDecisions, WaitReason
@@ -41,8 +42,6 @@
 TURN_RATIO = 0.3
 MIN_TURNS = 5  # of each round: a step of each kind
 MIN_PLACING_SECONDS = 0.025  # of each round, however long the ranking takes
-# A task that has failed on a worker waits so long for another one.
-RETRY_ELSEWHERE_SECONDS = 1.5
 MAX_IDLE_SECONDS = 2.0  # of a job without a running task
 MILLISECONDS_PER_SECOND = 1000
 
@@ -601,7 +600,7 @@
         chosen: list[tuple[Task, Run, WorkerLink]] = []
         postponed_count = 0
         for task in tasks:
-            avoided = _workers_to_avoid(step, task, fleet, now)
+            avoided = workers_to_avoid(step, task, fleet, now)
             candidate = scored.chooser.choose(task, avoided)
             if candidate is None and avoided and scored.chooser.has_workers:
                 postponed_count += 1
@@ -669,26 +668,6 @@
         )
 
 
-def _workers_to_avoid(
-    step: StepProgress, task: Task, fleet: Fleet, now: float
-) -> frozenset[str]:
-    """Return the workers on which a task has failed, if another one may take it soon.
-
-    A worker on which it failed may fail all tasks, and would use up its attempts.
-    """
-    excluded = task.excluded_workers
-    if not excluded or step.spec.gang:
-        return frozenset()
-    if now >= task.wait_started_at + RETRY_ELSEWHERE_SECONDS:
-        return frozenset()
-    label = step.spec.required_label
-    has_others = any(
-        each.worker not in excluded and label in ("", *each.labels)
-        for each in fleet.all_candidates
-    )
-    return excluded if has_others else frozenset()
-
-
 def _gangs(waiting: list[tuple[StepProgress, list[Task]]]) -> list[set[TaskId]]:
     """Return the waiting members of each gang."""
     return [{task.id for task in tasks} for step, tasks in waiting if step.spec.gang]
--- a/savorydale/scheduler/run_mover.py
+++ b/savorydale/scheduler/run_mover.py
@@ -150,10 +150,8 @@
             stalled = find_stalled_runs(_runs_with_cpu(link), reported_at)
             if not stalled:
                 continue
-            if self._may_be_worker(link, stalled) and (
-                self._state.health_of(link.worker).on_stall(now)
-            ):
-                self._record_stall(link, stalled, reported_at)
+            if self._may_be_faulty(link, stalled):
+                self._quarantine(link, stalled, reported_at, now)
             for run in stalled:
                 self._move(link, run, "the run makes no progress")
 
@@ -163,7 +161,7 @@
             if self._state.job_tracker.find_task(task) is None:
                 del self._stalled_on_by_task[task]
 
-    def _may_be_worker(self, link: WorkerLink, stalled: list[Run]) -> bool:
+    def _may_be_faulty(self, link: WorkerLink, stalled: list[Run]) -> bool:
         """Return whether a worker may be the cause of its stalled runs.
 
         It is not if all of their tasks have stalled on other workers as well.
@@ -173,9 +171,12 @@
             workers.add(link.worker)
         return any(len(self._stalled_on_by_task[run.task]) == 1 for run in stalled)
 
-    def _record_stall(
-        self, link: WorkerLink, stalled: list[Run], reported_at: float
+    def _quarantine(
+        self, link: WorkerLink, stalled: list[Run], reported_at: float, now: float
     ) -> None:
+        """Quarantine a worker with stalled runs, or extend its quarantine."""
+        if not self._state.health_of(link.worker).on_stall(now):
+            return
         self._counters.increment("worker.stalled")
         progressed_at = min(
             max(run.confirmed_at, run.progressed_at, run.throttled_at)
--- a/savorydale/tests/scheduler/last_resort_tests.py
+++ b/savorydale/tests/scheduler/last_resort_tests.py
@@ -1,4 +1,4 @@
-"""An overdue service without any other place runs on a quarantined worker."""
+"""An overdue service without another place uses a quarantined or reserved worker."""
 
 import asyncio
 
