--- a/savorydale/tests/placement/health_tests.py
+++ b/savorydale/tests/placement/health_tests.py
@@ -97,6 +97,7 @@
     assert health.suspicion_now(1.0) > 0
     health.on_end(make_end("j3", EndReason.DONE), ORDINARY_RATIO, 2.0)
     assert health.suspicion_now(2.0) == 0
+    assert not health.on_end(make_end("j2"), ORDINARY_RATIO, 3.0)
 
 
 def test_run_without_progress_is_stalled():
